--- /dev/null
+++ b/cmd/stiletrail-gateway/main.go
@@ -0,0 +1,111 @@
+// Command stiletrail-gateway is a node of the query tier that asks back ends itself and learns the configuration and the
+// back ends from the platform's store.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
+
+	"stiletrail/internal/decisionlog"
+	"stiletrail/internal/exchange"
+	"stiletrail/internal/failure"
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/serving"
+	"stiletrail/internal/settings"
+	"stiletrail/platform"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+	exitCutShort = 3
+)
+
+// garbageTarget is the growth of the heap in percent at which garbage is collected: memory is dearer here than processor time.
+const garbageTarget = 40
+
+// logCloseTime bounds the writing of the last lines.
+const logCloseTime = 100 * time.Millisecond
+
+func main() {
+	app := kingpin.New("stiletrail-gateway", "A node of the stiletrail query tier on a platform. SIGTERM is a planned stop, SIGHUP reads the settings again.")
+	file := app.Flag("settings", "Settings file (YAML); see docs/OPERATIONS.md.").Required().String()
+	check := app.Flag("check", "Only check the settings.").Bool()
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "stiletrail-gateway: %s, try --help\n", err)
+		os.Exit(exitSettings)
+	}
+	loaded, err := settings.LoadGateway(*file, nil)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, failure.From(err).Message)
+		os.Exit(exitSettings)
+	}
+	if *check {
+		return
+	}
+	debug.SetGCPercent(garbageTarget)
+	os.Exit(run(*file, loaded))
+}
+
+func run(file string, loaded settings.Gateway) int {
+	writer := decisionlog.NewWriter(os.Stdout)
+	defer writer.Close(logCloseTime)
+	level, _ := logrus.ParseLevel(loaded.LogLevel)
+	log := decisionlog.New(writer, level)
+	pool := exchange.NewPool()
+	node := gateway.New(gateway.FromSettings(loaded), platform.NewBackEnds(pool), platform.NewStoreClient(loaded.StoreAddress), log)
+	addresses := serving.Addresses{Callers: loaded.CallerAddress, Ready: loaded.ReadyAddress, Metrics: loaded.MetricsAddress}
+	server, err := serving.Start(node, addresses, platform.NewIngress(node), metricsHandler(node, pool, writer))
+	if err != nil {
+		log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": err.Error()})
+		return exitFailed
+	}
+	log.Lifecycle(decisionlog.EventStart, map[string]any{"settings": loaded})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go node.Run(ctx)
+	return wait(file, loaded, server, log)
+}
+
+// wait handles signals until the node stops.
+func wait(file string, loaded settings.Gateway, server *serving.Server, log *decisionlog.Log) int {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case err := <-server.Failed():
+			log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": err.Error()})
+			return exitFailed
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				reload(file, log)
+				continue
+			}
+			log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": received.String()})
+			if !server.Stop(loaded.StopWithin) {
+				return exitCutShort
+			}
+			return exitOK
+		}
+	}
+}
+
+// reload checks the settings again. What listens and where stays as it is until a restart; requests under way are not touched.
+func reload(file string, log *decisionlog.Log) {
+	again, err := settings.LoadGateway(file, nil)
+	if err != nil {
+		log.Lifecycle(decisionlog.EventReload, map[string]any{"reason": failure.From(err).Message})
+		return
+	}
+	log.Lifecycle(decisionlog.EventReload, map[string]any{"settings": again})
+}
--- /dev/null
+++ b/internal/decisionlog/bounds.go
@@ -0,0 +1,35 @@
+package decisionlog
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// rate allows a number of lines in each second.
+type rate struct {
+	mutex  sync.Mutex
+	second int64
+	count  int
+}
+
+func (r *rate) allow(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if second := now.Unix(); second != r.second {
+		r.second, r.count = second, 0
+	}
+	r.count++
+	return r.count <= requestsPerSecond
+}
+
+// ordinal picks one in a fixed number.
+type ordinal struct{ count atomic.Uint64 }
+
+func (o *ordinal) sampled() bool { return o.count.Add(1)%ordinarySampleEvery == 1 }
+
+// lostStore knows whether the store is lost.
+type lostStore struct{ lost atomic.Bool }
+
+func (s *lostStore) lose() bool   { return !s.lost.Swap(true) }
+func (s *lostStore) regain() bool { return s.lost.Load() && s.lost.Swap(false) }
--- /dev/null
+++ b/internal/decisionlog/decisionlog.go
@@ -0,0 +1,221 @@
+package decisionlog
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/follow"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+)
+
+// Fields of the lines.
+const (
+	fieldEvent    = "event"
+	fieldRequest  = "request"
+	fieldRoute    = "route"
+	fieldVersion  = "version"
+	fieldRevision = "revision"
+	fieldReason   = "reason"
+	fieldOutcome  = "outcome"
+	fieldBackEnd  = "back_end"
+	fieldService  = "service"
+	fieldZone     = "zone"
+	fieldAttempts = "attempts"
+	fieldMissing  = "missing"
+	fieldTotal    = "total"
+	fieldElapsed  = "elapsed_ms"
+	fieldAge      = "age_ms"
+	fieldDropped  = "lines_dropped"
+)
+
+// Events of the lines.
+const (
+	EventStart          = "start"
+	EventStop           = "stop"
+	EventReload         = "reload"
+	EventRequest        = "request"
+	EventEjected        = "back_end_ejected"
+	EventConfiguration  = "configuration_in_force"
+	EventRejected       = "item_rejected"
+	EventBackEnd        = "back_end"
+	EventVanished       = "back_end_vanished"
+	EventListed         = "store_listed"
+	EventBehind         = "store_watch_behind"
+	EventStoreLost      = "store_lost"
+	EventStoreRegained  = "store_regained"
+	EventLinesDropped   = "lines_dropped"
+	requestsPerSecond   = 200
+	ordinarySampleEvery = 20
+)
+
+// Log implements gateway.Journal.
+type Log struct {
+	log     *logrus.Logger
+	writer  *Writer
+	rate    rate
+	lost    lostStore
+	ordinal ordinal
+}
+
+// New returns a log that writes to the given writer.
+func New(writer *Writer, level logrus.Level) *Log {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00", DisableHTMLEscape: true})
+	log.SetOutput(writer)
+	log.SetLevel(level)
+	return &Log{log: log, writer: writer}
+}
+
+// Lifecycle writes a line at start, stop and reload.
+func (l *Log) Lifecycle(event string, fields map[string]any) {
+	l.log.WithFields(fields).WithField(fieldEvent, event).Info(event)
+}
+
+// Request writes the line of a request: all decisions that touched it, folded. Ordinary successes are sampled; others are
+// kept up to a rate.
+func (l *Log) Request(call *gateway.Call, result *gateway.Result) {
+	ordinary := result.Failure == nil && result.Missing == 0 && !result.Gone && !anyExtra(result.Attempts)
+	if ordinary && !l.ordinal.sampled() {
+		return
+	}
+	if !l.rate.allow(time.Now()) {
+		return
+	}
+	fields := logrus.Fields{
+		fieldEvent: EventRequest, fieldRequest: call.ID, fieldVersion: result.Version, fieldElapsed: result.Elapsed.Milliseconds(),
+		fieldReason: string(result.Reason), fieldOutcome: outcomeOf(result),
+	}
+	if result.Route != nil {
+		fields[fieldRoute] = result.Route.Name
+	}
+	if result.Total > 0 {
+		fields[fieldTotal] = result.Total
+		fields[fieldMissing] = result.Missing
+	}
+	if !ordinary {
+		fields[fieldAttempts] = describe(result)
+	}
+	l.log.WithFields(fields).Info(EventRequest)
+}
+
+func anyExtra(attempts []*forward.Attempt) bool {
+	for _, attempt := range attempts {
+		if attempt.Purpose != forward.First {
+			return true
+		}
+	}
+	return false
+}
+
+func outcomeOf(result *gateway.Result) string {
+	switch {
+	case result.Gone:
+		return "caller_gone"
+	case result.Failure != nil:
+		return string(result.Failure.Code)
+	case result.Missing > 0:
+		return "partial"
+	case result.Passed != nil:
+		return strconv.Itoa(result.Passed.Status)
+	}
+	return "complete"
+}
+
+// describe lists attempts as service, back end, purpose, start and end in milliseconds from the request's arrival, outcome.
+func describe(result *gateway.Result) []string {
+	lines := make([]string, 0, len(result.Attempts))
+	for _, attempt := range result.Attempts {
+		var line strings.Builder
+		fmt.Fprintf(&line, "%s %s %s %d-", attempt.Service, attempt.Replica.ID, attempt.Purpose,
+			(attempt.StartedAt - result.Arrived).Milliseconds())
+		if attempt.Outcome.Kind == 0 {
+			line.WriteString(" open")
+		} else {
+			fmt.Fprintf(&line, "%d %s", (attempt.EndedAt - result.Arrived).Milliseconds(), attempt.Outcome.Kind)
+		}
+		if attempt.Outcome.Detail != "" {
+			line.WriteString(": " + attempt.Outcome.Detail)
+		}
+		lines = append(lines, line.String())
+	}
+	return lines
+}
+
+// Ejected implements gateway.Journal.
+func (l *Log) Ejected(attempt *forward.Attempt, outcome forward.Outcome) {
+	l.log.WithFields(logrus.Fields{
+		fieldEvent: EventEjected, fieldBackEnd: attempt.Replica.ID, fieldService: attempt.Service,
+		fieldOutcome: outcome.Kind.String(), fieldReason: outcome.Detail,
+	}).Info(EventEjected)
+}
+
+// Configuration implements gateway.Journal.
+func (l *Log) Configuration(table *routing.Table, revision uint64) {
+	l.log.WithFields(logrus.Fields{
+		fieldEvent: EventConfiguration, fieldVersion: table.Version(), fieldRevision: revision, "routes": table.RouteCount(),
+	}).Info(EventConfiguration)
+}
+
+// Rejected implements gateway.Journal.
+func (l *Log) Rejected(item *gateway.Item) {
+	l.log.WithFields(logrus.Fields{
+		fieldEvent: EventRejected, "key": item.Key, fieldRevision: item.Revision, fieldReason: item.Err.Error(),
+	}).Warn(EventRejected)
+}
+
+// BackEnd implements gateway.Journal.
+func (l *Log) BackEnd(entry replica.Entry, revision uint64) {
+	state := "ready"
+	if entry.Draining {
+		state = "draining"
+	}
+	l.log.WithFields(logrus.Fields{
+		fieldEvent: EventBackEnd, fieldBackEnd: entry.ID, fieldService: entry.Service, fieldZone: entry.Zone,
+		fieldOutcome: state, fieldRevision: revision,
+	}).Info(EventBackEnd)
+}
+
+// Vanished implements gateway.Journal.
+func (l *Log) Vanished(id string, certain bool) {
+	outcome := "doubtful"
+	if certain {
+		outcome = "forgotten"
+	}
+	l.log.WithFields(logrus.Fields{fieldEvent: EventVanished, fieldBackEnd: id, fieldOutcome: outcome}).Info(EventVanished)
+}
+
+// Listed implements gateway.Journal.
+func (l *Log) Listed(items int, revision uint64) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventListed, "items": items, fieldRevision: revision}).Info(EventListed)
+}
+
+// Behind implements gateway.Journal.
+func (l *Log) Behind(known, seen uint64) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventBehind, fieldRevision: known, "seen": seen}).Warn(EventBehind)
+}
+
+// StoreLost implements gateway.Journal. Only the first failure in a row is written.
+func (l *Log) StoreLost(trouble follow.Trouble, cause *failure.Failure, contactAge time.Duration) {
+	if !l.lost.lose() {
+		return
+	}
+	l.log.WithFields(logrus.Fields{
+		fieldEvent: EventStoreLost, fieldReason: trouble.String(), fieldOutcome: cause.Error(), fieldAge: contactAge.Milliseconds(),
+	}).Warn(EventStoreLost)
+}
+
+// StoreAnswered implements gateway.Journal. It writes a line where the store was lost before.
+func (l *Log) StoreAnswered(contactAge time.Duration) {
+	if !l.lost.regain() {
+		return
+	}
+	l.log.WithFields(logrus.Fields{fieldEvent: EventStoreRegained, fieldAge: contactAge.Milliseconds()}).Info(EventStoreRegained)
+}
--- /dev/null
+++ b/internal/exchange/pool.go
@@ -0,0 +1,154 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Limits of connections.
+const (
+	// defaultIdle is how long a connection rests unused where the back end names no time.
+	defaultIdle = 4 * time.Second
+	// idleMargin is kept before the time a back end names, so that a request does not cross its close.
+	idleMargin = 500 * time.Millisecond
+	// userTimeout is how long written bytes may stay unacknowledged before a connection is given up.
+	userTimeout = 2 * time.Second
+)
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	mutex sync.Mutex
+	idle  map[string][]*connection
+	// Opened counts connections opened since the start; Open is how many there are.
+	Opened atomic.Int64
+	Open   atomic.Int64
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{idle: map[string][]*connection{}}
+}
+
+// connect takes an idle connection that is still sound, or opens one.
+func (p *Pool) connect(ctx context.Context, request Request) (*connection, error) {
+	for {
+		kept := p.take(request.Address)
+		if kept == nil {
+			return p.open(ctx, request)
+		}
+		if kept.sound(time.Now()) {
+			return kept, nil
+		}
+		kept.close()
+	}
+}
+
+func (p *Pool) open(ctx context.Context, request Request) (*connection, error) {
+	timeout := min(request.ConnectTimeout, time.Until(request.Deadline))
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp4", request.Address)
+	if err != nil {
+		return nil, err
+	}
+	p.Opened.Add(1)
+	p.Open.Add(1)
+	return newConnection(socket, func() { p.Open.Add(-1) }), nil
+}
+
+// setUserTimeout has a connection to a peer that fell silent fail instead of hanging.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+}
+
+func (p *Pool) take(address string) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	last := idle[len(idle)-1]
+	p.idle[address] = idle[:len(idle)-1]
+	return last
+}
+
+func (p *Pool) put(address string, c *connection) {
+	c.idleSince = time.Now()
+	_ = c.socket.SetDeadline(time.Time{})
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// Prune closes connections that have rested as long as they may, and all to addresses that are no longer in use.
+func (p *Pool) Prune(inUse func(address string) bool) {
+	now := time.Now()
+	var stale []*connection
+	p.mutex.Lock()
+	for address, idle := range p.idle {
+		used := inUse(address)
+		kept := idle[:0]
+		for _, c := range idle {
+			if used && !c.rested(now) {
+				kept = append(kept, c)
+			} else {
+				stale = append(stale, c)
+			}
+		}
+		clear(idle[len(kept):])
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mutex.Unlock()
+	for _, c := range stale {
+		c.close()
+	}
+}
+
+func (c *connection) rested(now time.Time) bool {
+	return now.Sub(c.idleSince) >= c.idleFor
+}
+
+// sound reports whether a connection may carry another request: it has not rested too long, the back end has not closed it,
+// and no byte came that belongs to no request.
+func (c *connection) sound(now time.Time) bool {
+	if c.rested(now) {
+		return false
+	}
+	raw, err := c.socket.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(descriptor uintptr) {
+		var buffer [1]byte
+		_, _, err := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+	})
+	return err == nil && quiet
+}
+
+// keepAliveTimeout is how long a connection may rest by what the back end says.
+func keepAliveTimeout(header http.Header) time.Duration {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil {
+			return time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,199 @@
+// Package follow decides how a node reads the store that holds what the operator and the back ends state: a listing first,
+// then one watch after another, and a new listing whenever something may have been missed.
+//
+// It does no I/O and reads no clock.
+package follow
+
+import "time"
+
+// Trouble is a way in which a call to the store went wrong.
+type Trouble int
+
+// The troubles.
+const (
+	// Unavailable: no answer, or the store said that it cannot answer.
+	Unavailable Trouble = iota + 1
+	// Throttled: too many calls.
+	Throttled
+	// HistoryLost: the store no longer knows the changes since the revision asked for.
+	HistoryLost
+)
+
+// String names the trouble in logs.
+func (t Trouble) String() string {
+	return [...]string{"none", "unavailable", "throttled", "history_lost"}[t]
+}
+
+// Settings of the reading.
+type Settings struct {
+	// WatchFor is how long a watch waits for a change.
+	WatchFor time.Duration
+	// GatherFor is the pause after changes came, so that changes close to each other cost one call.
+	GatherFor time.Duration
+	// SettleFor is how long after trouble a vanished entry proves nothing.
+	SettleFor time.Duration
+	// FirstBackoff and LongestBackoff bound the pause after trouble.
+	FirstBackoff   time.Duration
+	LongestBackoff time.Duration
+}
+
+// Kind of a Call.
+type Kind int
+
+// The kinds of call.
+const (
+	// List: read the page of keys after Call.After.
+	List Kind = iota + 1
+	// Watch: wait for changes after Call.Revision.
+	Watch
+	// Pause: do nothing for Call.For.
+	Pause
+)
+
+// Call is what to do next.
+type Call struct {
+	Kind     Kind
+	After    string
+	Revision uint64
+	For      time.Duration
+}
+
+// Core holds the state of the reading.
+type Core struct {
+	settings Settings
+	random   func() float64
+	// revision up to which all changes are known; known after a whole listing.
+	revision uint64
+	listed   bool
+	// after and listedAt are of a listing under way: the last key read, and the revision of its first page.
+	after    string
+	listing  bool
+	listedAt uint64
+	pause    time.Duration
+	backoff  time.Duration
+	// troubledAt is when the store was last in trouble, or a listing began anew; -1 for never.
+	troubledAt time.Duration
+	// contactAt is when the store last answered; -1 for never.
+	contactAt time.Duration
+	// ahead is a revision the store was seen at while no watch told of it, since aheadSince.
+	ahead      uint64
+	aheadSince time.Duration
+}
+
+// New returns a Core that begins with a listing. The function returns random numbers from 0 to 1.
+func New(settings Settings, random func() float64) *Core {
+	return &Core{settings: settings, random: random, troubledAt: -1, contactAt: -1}
+}
+
+// Revision up to which changes are known.
+func (c *Core) Revision() uint64 { return c.revision }
+
+// Listed reports whether a whole listing was read.
+func (c *Core) Listed() bool { return c.listed }
+
+// ContactAge is the time since the store last answered, -1 if it never did.
+func (c *Core) ContactAge(now time.Duration) time.Duration {
+	if c.contactAt < 0 {
+		return -1
+	}
+	return now - c.contactAt
+}
+
+// Settled reports whether the store has been without trouble for long enough that a vanished entry means a back end leaves.
+func (c *Core) Settled(now time.Duration) bool {
+	return c.troubledAt < 0 || now-c.troubledAt >= c.settings.SettleFor
+}
+
+// Next returns what to do now.
+func (c *Core) Next() Call {
+	if c.pause > 0 {
+		pause := c.pause
+		c.pause = 0
+		return Call{Kind: Pause, For: pause}
+	}
+	if !c.listed || c.listing {
+		return Call{Kind: List, After: c.after}
+	}
+	return Call{Kind: Watch, Revision: c.revision, For: c.settings.WatchFor}
+}
+
+// Page takes in a page of a listing: its last key, the store's revision, and whether there is more. It reports whether the
+// listing is whole.
+func (c *Core) Page(now time.Duration, last string, at uint64, more bool) bool {
+	c.answered(now)
+	if c.after == "" {
+		c.listedAt = at
+	}
+	c.listing = more
+	if more {
+		c.after = last
+		return false
+	}
+	c.after = ""
+	c.listed = true
+	// Changes made while the listing was read come again with the watch; each is taken by its own revision.
+	c.revision = c.listedAt
+	return true
+}
+
+// Changes takes in the end of a watch: the revision to go on from, and the number of changes.
+func (c *Core) Changes(now time.Duration, at uint64, count int) {
+	c.answered(now)
+	c.revision = max(c.revision, at)
+	if count > 0 {
+		c.pause = c.settings.GatherFor
+	}
+}
+
+// Failed takes in that a call went wrong.
+func (c *Core) Failed(now time.Duration, trouble Trouble) {
+	c.troubledAt = now
+	if trouble == HistoryLost {
+		c.relist()
+		return
+	}
+	if c.backoff == 0 {
+		c.backoff = c.settings.FirstBackoff
+	} else {
+		c.backoff = min(2*c.backoff, c.settings.LongestBackoff)
+	}
+	// Spread, so that many nodes do not come back at the same moment.
+	c.pause = time.Duration((0.5 + c.random()) * float64(c.backoff))
+	if c.listing {
+		c.relist()
+	}
+}
+
+// Seen takes in the revision that the store was seen at beside the watch. A store that stays ahead of the watch has lost or
+// withheld a change: it reports true, and the next call lists again.
+func (c *Core) Seen(now time.Duration, at uint64, patience time.Duration) bool {
+	if !c.listed || c.listing || at <= c.revision {
+		c.ahead = 0
+		return false
+	}
+	if c.ahead == 0 || c.ahead <= c.revision {
+		c.ahead, c.aheadSince = at, now
+		return false
+	}
+	if now-c.aheadSince < patience {
+		return false
+	}
+	c.ahead = 0
+	c.troubledAt = now
+	c.relist()
+	return true
+}
+
+func (c *Core) relist() {
+	c.listed = false
+	c.listing = false
+	c.after = ""
+}
+
+func (c *Core) answered(now time.Duration) {
+	c.contactAt = now
+	c.backoff = 0
+}
+
+// Unsettle takes in that a look at the store beside the watch went wrong.
+func (c *Core) Unsettle(now time.Duration) { c.troubledAt = now }
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,286 @@
+// Package forward decides how one request is served by back ends that this node asks itself: which replica of which shard is
+// asked when, when another is asked as well or instead, and when and how the request is answered.
+//
+// A request to a single back end is a request over one shard. The package does no I/O and reads no clock: outcomes of attempts
+// and the passing of time go in, actions come out. Times are of the caller's monotonic clock.
+package forward
+
+import (
+	"time"
+
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+)
+
+// World is what a request needs of the node it runs on.
+type World interface {
+	// Pick returns a replica of the service, none of those excluded, or nil; busy is set where each has its attempts.
+	Pick(service string, excluded []*replica.Replica) (chosen *replica.Replica, busy bool)
+	// SpendHedge takes an extra attempt that only saves time out of the service's budget.
+	SpendHedge(service string) bool
+	// SpendRetry takes an extra attempt after a failure out of the service's budget.
+	SpendRetry(service string) bool
+}
+
+// Settings of how requests are served.
+type Settings struct {
+	// HedgeShare of the target latency is waited for an answer before another replica is asked too; 0 turns hedging off.
+	HedgeShare float64
+	// EarlyFinish answers at the target latency with what is there, where that is enough.
+	EarlyFinish bool
+	// AnswerMargin is kept before the target latency and the caller's deadline, for the way back to the caller.
+	AnswerMargin time.Duration
+}
+
+// Kind of an outcome.
+type Kind int
+
+// The outcomes of an attempt.
+const (
+	// Answered: the back end ran the request and gave a good, whole answer.
+	Answered Kind = iota + 1
+	// Failed: the back end ran the request, or may have, and answered with a failure.
+	Failed
+	// Refused: the back end said that it did not run the request.
+	Refused
+	// Misdirected: the address belongs to another back end, which did not run the request.
+	Misdirected
+	// NotSent: no byte of the request was written.
+	NotSent
+	// Lost: the request may have run; no whole answer came.
+	Lost
+	// Invalid: what came is not an answer to the request.
+	Invalid
+	// Expired: the time was over before the request was written.
+	Expired
+)
+
+// NotRun reports whether the outcome proves that the attempt did not run.
+func (k Kind) NotRun() bool {
+	return k == Refused || k == Misdirected || k == NotSent || k == Expired
+}
+
+// String names the outcome in logs.
+func (k Kind) String() string {
+	names := [...]string{"none", "answered", "failed", "refused", "misdirected", "not_sent", "lost", "invalid", "expired"}
+	return names[k]
+}
+
+// Outcome of an attempt.
+type Outcome struct {
+	Kind Kind
+	// RetryAfter is what a refusal says of when to come back.
+	RetryAfter time.Duration
+	// Response is the back end's answer, with Answered and Failed.
+	Response *Response
+	// Detail says what happened, for logs.
+	Detail string
+}
+
+// Response is an answer of a back end.
+type Response struct {
+	Status int
+	Body   []byte
+	// Signature proves who answered; a part without one does not count.
+	Signature string
+	// Transport is the answer as the adapter holds it, passed back untouched.
+	Transport any
+}
+
+// Attempt is one request to one back end.
+type Attempt struct {
+	// Number counts the attempts of a request from 0.
+	Number  int
+	Shard   int
+	Service string
+	Replica *replica.Replica
+	Purpose Purpose
+	// StartedAt is when it was decided.
+	StartedAt time.Duration
+	// Outcome and EndedAt are set when the attempt ends before the request does.
+	Outcome Outcome
+	EndedAt time.Duration
+	// live until an outcome came or it was cancelled.
+	live bool
+}
+
+// Purpose of an attempt.
+type Purpose string
+
+// The purposes.
+const (
+	First Purpose = "first"
+	Hedge Purpose = "hedge"
+	Retry Purpose = "retry"
+)
+
+// Action is something the driver must do. One field is set.
+type Action struct {
+	Send *Attempt
+	// Cancel withdraws an attempt whose answer is of no more use.
+	Cancel *Attempt
+	Finish *Answer
+}
+
+// Parameters of a request.
+type Parameters struct {
+	Route *routing.Route
+	// Service a request to a single back end goes to.
+	Service string
+	// Deadline is when the caller stops waiting, zero if it did not say.
+	Deadline time.Duration
+}
+
+type shard struct {
+	service  string
+	response *Response
+	failed   bool
+	// last is the latest outcome that was no answer.
+	last Outcome
+	// tried replicas are not asked again; sent counts those that may have got the request.
+	tried   []*replica.Replica
+	sent    int
+	live    int
+	hedgeAt time.Duration
+	// waiting: no replica has room.
+	waiting bool
+}
+
+// Request is one request under way.
+type Request struct {
+	world      World
+	settings   Settings
+	route      *routing.Route
+	startedAt  time.Duration
+	deadline   time.Duration
+	target     time.Duration
+	shards     []shard
+	attempts   []*Attempt
+	answered   int
+	mayHaveRun bool
+	anySent    bool
+	retryAfter time.Duration
+	actions    []Action
+	done       bool
+}
+
+// Start takes a request in and returns it with its first actions.
+func Start(now time.Duration, parameters Parameters, settings Settings, world World) (*Request, []Action) {
+	route := parameters.Route
+	r := &Request{
+		world: world, settings: settings, route: route, startedAt: now,
+		deadline: now + route.Timeout, target: now + route.TargetLatency - settings.AnswerMargin,
+	}
+	if parameters.Deadline > 0 {
+		r.deadline = min(r.deadline, parameters.Deadline-settings.AnswerMargin)
+	}
+	services := route.Shards
+	if !route.FansOut() {
+		services = []string{parameters.Service}
+	}
+	r.shards = make([]shard, len(services))
+	for i, service := range services {
+		r.shards[i].service = service
+		r.try(now, i, First)
+	}
+	r.decide(now)
+	return r, r.take()
+}
+
+// At gives the request the world as it is now; it is called before each step.
+func (r *Request) At(world World) { r.world = world }
+
+// Done reports whether the request was answered.
+func (r *Request) Done() bool { return r.done }
+
+// Deadline is when the request gets its final answer at the latest; back ends are told what is left until then.
+func (r *Request) Deadline() time.Duration { return r.deadline }
+
+// Attempts are all attempts so far.
+func (r *Request) Attempts() []*Attempt { return r.attempts }
+
+func (r *Request) take() []Action {
+	actions := r.actions
+	r.actions = nil
+	return actions
+}
+
+// Receive takes in the outcome of an attempt.
+func (r *Request) Receive(now time.Duration, attempt *Attempt, outcome Outcome) []Action {
+	if r.done || !attempt.live {
+		return nil
+	}
+	attempt.live = false
+	attempt.Outcome = outcome
+	attempt.EndedAt = now
+	s := &r.shards[attempt.Shard]
+	s.live--
+	if !outcome.Kind.NotRun() {
+		r.mayHaveRun = true
+	}
+	if outcome.Kind == NotSent || outcome.Kind == Expired {
+		s.sent--
+	}
+	r.retryAfter = max(r.retryAfter, outcome.RetryAfter)
+	switch {
+	case s.response != nil:
+	case r.counts(outcome):
+		s.response = outcome.Response
+		r.answered++
+		r.cancelShard(attempt.Shard)
+	default:
+		s.last = outcome
+		r.tryAgain(now, attempt.Shard)
+	}
+	r.decide(now)
+	return r.take()
+}
+
+// counts reports whether an outcome answers its shard. A part of a gathered answer must be signed.
+func (r *Request) counts(outcome Outcome) bool {
+	return outcome.Kind == Answered && (!r.route.FansOut() || outcome.Response.Signature != "")
+}
+
+// Tick takes in the passing of time.
+func (r *Request) Tick(now time.Duration) []Action {
+	if r.done {
+		return nil
+	}
+	for i := range r.shards {
+		s := &r.shards[i]
+		if s.waiting {
+			r.try(now, i, First)
+		} else if r.mayHedge(s) && now >= s.hedgeAt {
+			r.hedge(now, i)
+		}
+	}
+	r.decide(now)
+	return r.take()
+}
+
+// CallerGone withdraws everything; there is nobody to answer.
+func (r *Request) CallerGone() []Action {
+	if r.done {
+		return nil
+	}
+	r.done = true
+	r.cancelAll()
+	return r.take()
+}
+
+// NextWake returns when Tick must be called at the latest.
+func (r *Request) NextWake(now time.Duration) time.Duration {
+	wake := r.deadline
+	if r.settings.EarlyFinish && r.route.FansOut() && now < r.target {
+		wake = min(wake, r.target)
+	}
+	for i := range r.shards {
+		s := &r.shards[i]
+		if s.waiting {
+			wake = min(wake, now+waitForRoom)
+		} else if r.mayHedge(s) {
+			wake = min(wake, s.hedgeAt)
+		}
+	}
+	return wake
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,168 @@
+// Package gateway runs requests on a node that asks back ends itself: it holds the routing table in force and the back ends
+// known, drives a forward.Request per request with attempts over the network, and follows the store.
+//
+// All decisions are made in packages without I/O (forward, replica, follow, routing); this one has the clock, the goroutines
+// and the lock.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"stiletrail/internal/follow"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/limit"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+)
+
+// Call is a request of a caller.
+type Call struct {
+	// ID is the caller's own id of the request.
+	ID   string
+	Host string
+	Path string
+	// Deadline is when the caller stops waiting; zero if it did not say.
+	Deadline time.Time
+	// Message is the request as the adapter holds it, handed through to the back-end client.
+	Message any
+}
+
+// Send is an attempt to be carried out.
+type Send struct {
+	Call    *Call
+	Attempt *forward.Attempt
+	// Entry of the back end, as it was when the attempt was decided.
+	Entry replica.Entry
+	// Deadline is when the work is of no more use. What is left of it is told at the moment of the write.
+	Deadline time.Time
+}
+
+// BackEnds carries out attempts. One attempt reaches a back end at most once.
+type BackEnds interface {
+	Exchange(ctx context.Context, send Send) forward.Outcome
+	// Prune closes idle connections to addresses that no back end has any more.
+	Prune(inUse func(address string) bool)
+}
+
+// Settings of a gateway.
+type Settings struct {
+	Forward forward.Settings
+	Replica replica.Settings
+	Follow  follow.Settings
+	Places  replica.Places
+	// RetryShare of the requests of a service may be extra attempts in any RetryWindow, over all nodes.
+	RetryShare  float64
+	RetryWindow time.Duration
+	// HedgeReserve is the part of the retry budget that hedges leave for retries.
+	HedgeReserve float64
+	// Linger is how long an attempt whose answer is of no more use may go on before its connection is closed.
+	Linger time.Duration
+	// RevisionInterval is the pause between looks at the store's revision beside the watch; 0 for none.
+	RevisionInterval time.Duration
+	// MaximumRequests bounds the requests under way.
+	MaximumRequests int
+}
+
+// Gateway is one node's.
+type Gateway struct {
+	settings Settings
+	backEnds BackEnds
+	store    Store
+	journal  Journal
+	started  time.Time
+	table    atomic.Pointer[routing.Table]
+	underWay atomic.Int64
+	leaving  atomic.Bool
+	// listed: a whole listing of the store was read.
+	listed atomic.Bool
+	// givenUp is closed when all requests under way are to be answered at once.
+	givenUp    chan struct{}
+	giveUpOnce sync.Once
+
+	mutex    sync.Mutex
+	replicas *replica.Set
+	budgets  map[string]*limit.SlidingBudget
+	splitter *routing.Splitter
+	follower *follow.Core
+	// keys gives the id of the back end an item of the store is about, and the revision it was last taken at.
+	keys map[string]keyState
+	// unlisted collects what a listing under way has named so far.
+	listedKeys map[string]bool
+}
+
+// New returns a gateway that knows nothing yet. Run makes it follow the store.
+func New(settings Settings, backEnds BackEnds, store Store, journal Journal) *Gateway {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Gateway{
+		settings: settings, backEnds: backEnds, store: store, journal: journal, started: time.Now(), givenUp: make(chan struct{}),
+		replicas: replica.NewSet(settings.Replica, settings.Places, random),
+		budgets:  map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
+		follower: follow.New(settings.Follow, random.Float64), keys: map[string]keyState{}, listedKeys: map[string]bool{},
+	}
+}
+
+// now is the time since the start, on the monotonic clock.
+func (g *Gateway) now() time.Duration { return time.Since(g.started) }
+
+func (g *Gateway) at(moment time.Duration) time.Time { return g.started.Add(moment) }
+
+// Ready reports whether the node should get requests: it has a configuration and back ends, and is not leaving.
+func (g *Gateway) Ready() bool {
+	return g.table.Load() != nil && g.listed.Load() && !g.leaving.Load()
+}
+
+// GiveUp answers all requests under way at once, with what is there.
+func (g *Gateway) GiveUp() { g.giveUpOnce.Do(func() { close(g.givenUp) }) }
+
+// Leave makes the node say that it is not ready any more. It serves on.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Leaving reports whether Leave was called.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
+// UnderWay is the number of requests under way.
+func (g *Gateway) UnderWay() int64 { return g.underWay.Load() }
+
+// Limits of what callers may send, by the configuration in force; false before there is one.
+func (g *Gateway) Limits() (routing.Limits, bool) {
+	table := g.table.Load()
+	if table == nil {
+		return routing.Limits{}, false
+	}
+	return table.Limits(), true
+}
+
+func (g *Gateway) budget(service string) *limit.SlidingBudget {
+	budget := g.budgets[service]
+	if budget == nil {
+		created := limit.NewSlidingBudget(g.settings.RetryShare, g.settings.RetryWindow)
+		budget = &created
+		g.budgets[service] = budget
+	}
+	return budget
+}
+
+// world is the gateway as a request sees it; the lock is held.
+type world struct {
+	gateway *Gateway
+	now     time.Duration
+}
+
+// Pick implements forward.World.
+func (w world) Pick(service string, excluded []*replica.Replica) (*replica.Replica, bool) {
+	return w.gateway.replicas.Pick(w.now, service, excluded)
+}
+
+// SpendHedge implements forward.World.
+func (w world) SpendHedge(service string) bool {
+	return w.gateway.budget(service).Spend(w.now, w.gateway.settings.HedgeReserve)
+}
+
+// SpendRetry implements forward.World.
+func (w world) SpendRetry(service string) bool {
+	return w.gateway.budget(service).Spend(w.now, 0)
+}
--- /dev/null
+++ b/internal/gateway/journal.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"time"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/follow"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+)
+
+// Journal takes note of decisions. Its methods never block; some are called with the gateway's lock held.
+type Journal interface {
+	Request(call *Call, result *Result)
+	Ejected(attempt *forward.Attempt, outcome forward.Outcome)
+	Configuration(table *routing.Table, revision uint64)
+	Rejected(item *Item)
+	BackEnd(entry replica.Entry, revision uint64)
+	Vanished(id string, certain bool)
+	Listed(items int, revision uint64)
+	Behind(known, seen uint64)
+	StoreLost(trouble follow.Trouble, cause *failure.Failure, contactAge time.Duration)
+	StoreAnswered(contactAge time.Duration)
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+)
+
+// Result is the answer to a call.
+type Result struct {
+	forward.Answer
+	// Version of the configuration that decided it, 0 without one.
+	Version uint64
+	Route   *routing.Route
+	// Attempts that were decided, and when the call arrived on the gateway's clock and how long it took.
+	Attempts []*forward.Attempt
+	Arrived  time.Duration
+	Elapsed  time.Duration
+	// Gone: the caller left; there is nobody to answer.
+	Gone bool
+}
+
+// notReadyRetryAfter is when to come back to a node that has no configuration yet.
+const notReadyRetryAfter = 500 * time.Millisecond
+
+// Serve runs a call to its answer. The context ends when the caller leaves.
+func (g *Gateway) Serve(ctx context.Context, call *Call) Result {
+	arrived := g.now()
+	result := g.admit(ctx, call, arrived)
+	result.Arrived = arrived
+	result.Elapsed = g.now() - arrived
+	g.journal.Request(call, &result)
+	return result
+}
+
+func (g *Gateway) admit(ctx context.Context, call *Call, arrived time.Duration) Result {
+	table := g.table.Load()
+	if table == nil {
+		refusal := failure.Refused(failure.NotReady, "the node has no configuration yet", notReadyRetryAfter)
+		return Result{Answer: forward.Answer{Failure: refusal}}
+	}
+	route := table.Match(call.Host, call.Path)
+	if route == nil {
+		missing := failure.New(failure.UnknownService, "no route has this host and path")
+		return Result{Answer: forward.Answer{Failure: missing}, Version: table.Version()}
+	}
+	underWay := g.underWay.Add(1)
+	defer g.underWay.Add(-1)
+	if int(underWay) > g.settings.MaximumRequests {
+		refusal := failure.Refused(failure.Overloaded, "too many requests under way", notReadyRetryAfter)
+		return Result{Answer: forward.Answer{Failure: refusal}, Version: table.Version(), Route: route}
+	}
+	run := newRun(g, call, route, arrived)
+	answer := run.toEnd(ctx)
+	return Result{
+		Answer: answer, Version: table.Version(), Route: route, Attempts: run.request.Attempts(), Gone: run.gone,
+	}
+}
+
+// run drives one forward.Request.
+type run struct {
+	gateway  *Gateway
+	call     *Call
+	route    *routing.Route
+	arrived  time.Duration
+	request  *forward.Request
+	deadline time.Time
+	outcomes chan ended
+	cancels  map[*forward.Attempt]context.CancelFunc
+	answer   *forward.Answer
+	gone     bool
+}
+
+// ended is an attempt with its outcome.
+type ended struct {
+	attempt *forward.Attempt
+	outcome forward.Outcome
+}
+
+func newRun(g *Gateway, call *Call, route *routing.Route, arrived time.Duration) *run {
+	most := max(len(route.Shards), 1) * (route.MaximumAttempts + forward.UnsentTries)
+	return &run{
+		gateway: g, call: call, route: route, arrived: arrived,
+		// The channel holds every outcome there can be, so that no attempt ever waits for a request that is over.
+		outcomes: make(chan ended, most),
+		cancels:  make(map[*forward.Attempt]context.CancelFunc, len(route.Shards)+1),
+	}
+}
+
+func (r *run) toEnd(ctx context.Context) forward.Answer {
+	r.start()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for r.answer == nil && !r.gone {
+		timer.Reset(max(0, r.nextWake()))
+		select {
+		case end := <-r.outcomes:
+			r.step(func(now time.Duration) []forward.Action { return r.request.Receive(now, end.attempt, end.outcome) })
+		case <-timer.C:
+			r.step(r.request.Tick)
+		case <-r.gateway.givenUp:
+			r.step(r.request.GiveUp)
+		case <-ctx.Done():
+			r.gone = true
+			r.step(func(time.Duration) []forward.Action { return r.request.CallerGone() })
+		}
+	}
+	if r.gone {
+		return forward.Answer{}
+	}
+	return *r.answer
+}
+
+func (r *run) nextWake() time.Duration {
+	now := r.gateway.now()
+	return r.request.NextWake(now) - now
+}
+
+func (r *run) start() {
+	g := r.gateway
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	parameters := forward.Parameters{Route: r.route}
+	if r.route.FansOut() {
+		for _, service := range r.route.Shards {
+			g.budget(service).Request(now, 1)
+		}
+	} else {
+		parameters.Service = g.splitter.Next(r.route)
+		g.budget(parameters.Service).Request(now, 1)
+	}
+	if !r.call.Deadline.IsZero() {
+		parameters.Deadline = r.call.Deadline.Sub(g.started)
+	}
+	request, actions := forward.Start(now, parameters, g.settings.Forward, world{g, now})
+	r.request = request
+	r.deadline = g.at(request.Deadline())
+	r.carryOut(now, actions)
+}
+
+func (r *run) step(decide func(now time.Duration) []forward.Action) {
+	g := r.gateway
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	// The request holds the world of its last step; bring it up to date.
+	r.request.At(world{g, now})
+	r.carryOut(now, decide(now))
+}
+
+func (r *run) carryOut(now time.Duration, actions []forward.Action) {
+	for _, action := range actions {
+		switch {
+		case action.Send != nil:
+			r.send(now, action.Send)
+		case action.Cancel != nil:
+			r.cancel(action.Cancel)
+		case action.Finish != nil:
+			r.answer = action.Finish
+		}
+	}
+}
+
+func (r *run) send(now time.Duration, attempt *forward.Attempt) {
+	attempt.Replica.Start(now)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancels[attempt] = cancel
+	send := Send{Call: r.call, Attempt: attempt, Entry: attempt.Replica.Entry, Deadline: r.deadline}
+	go func() {
+		outcome := r.gateway.backEnds.Exchange(ctx, send)
+		cancelled := ctx.Err() != nil
+		cancel()
+		r.gateway.attemptEnded(attempt, outcome, cancelled)
+		r.outcomes <- ended{attempt, outcome}
+	}()
+}
+
+// cancel withdraws an attempt: at once where the caller has left, since nobody may work for it any more; else after a while,
+// since an answer that is nearly there costs less than a new connection.
+func (r *run) cancel(attempt *forward.Attempt) {
+	cancel := r.cancels[attempt]
+	if r.gone || r.gateway.settings.Linger == 0 {
+		cancel()
+		return
+	}
+	time.AfterFunc(r.gateway.settings.Linger, cancel)
+}
+
+func (g *Gateway) attemptEnded(attempt *forward.Attempt, outcome forward.Outcome, cancelled bool) {
+	g.mutex.Lock()
+	now := g.now()
+	ejected := attempt.Replica.Finish(now, attempt.StartedAt, verdict(outcome.Kind, cancelled))
+	g.mutex.Unlock()
+	if ejected {
+		g.journal.Ejected(attempt, outcome)
+	}
+}
+
+func verdict(kind forward.Kind, cancelled bool) replica.Verdict {
+	if cancelled && kind != forward.Answered {
+		return replica.Abandoned
+	}
+	switch kind {
+	case forward.Answered:
+		return replica.Answered
+	case forward.Refused:
+		return replica.Refused
+	case forward.Misdirected:
+		return replica.Misdirected
+	case forward.NotSent:
+		return replica.Unreachable
+	case forward.Expired:
+		return replica.Neutral
+	}
+	return replica.Failed
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"time"
+
+	"stiletrail/internal/follow"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/settings"
+)
+
+// Values that no operator needs to set.
+const (
+	answerMargin     = 12 * time.Millisecond
+	otherZoneLatency = 10 * time.Millisecond
+	// doubtIntervals of renewal are waited for an entry to come back that vanished while the store was unsettled.
+	doubtIntervals = 1.6
+	// retryMargin of the retry budget is not used, for what cannot be counted, such as a restart of a node.
+	retryMargin      = 0.1
+	hedgeReserve     = 0.15
+	linger           = 150 * time.Millisecond
+	watchFor         = 15 * time.Second
+	gatherFor        = 900 * time.Millisecond
+	settleFor        = 5 * time.Second
+	firstBackoff     = 100 * time.Millisecond
+	longestBackoff   = time.Second
+	revisionInterval = 2 * time.Second
+)
+
+// FromSettings gives the gateway's settings for those of the operator.
+func FromSettings(s settings.Gateway) Settings {
+	return Settings{
+		Forward: forward.Settings{HedgeShare: s.HedgeShare, EarlyFinish: s.EarlyFinish, AnswerMargin: answerMargin},
+		Replica: replica.Settings{
+			Connections: s.Connections, OtherZone: min(otherZoneLatency, s.Locality), OtherRegion: s.Locality,
+			DoubtFor: time.Duration(doubtIntervals * float64(s.EntryInterval)),
+		},
+		Follow: follow.Settings{
+			WatchFor: watchFor, GatherFor: gatherFor, SettleFor: settleFor, FirstBackoff: firstBackoff, LongestBackoff: longestBackoff,
+		},
+		Places:     replica.Places{Zone: s.Zone, Regions: s.Regions},
+		RetryShare: s.RetryShare * (1 - retryMargin), RetryWindow: s.RetryWindow, HedgeReserve: hedgeReserve,
+		Linger: linger, RevisionInterval: revisionInterval, MaximumRequests: s.MaximumRequests,
+	}
+}
--- /dev/null
+++ b/internal/gateway/store.go
@@ -0,0 +1,296 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/follow"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+)
+
+// Item is one thing the store holds, in the product's own terms. At most one of Configuration and BackEnd is set; with
+// neither, the item vanished or is of no interest.
+type Item struct {
+	// Key is opaque.
+	Key string
+	// Revision of the item's last change.
+	Revision      uint64
+	Gone          bool
+	Configuration *routing.Configuration
+	BackEnd       *replica.Entry
+	// Err says why an item could not be read; what was known of it before stays in force.
+	Err error
+}
+
+// Page is a part of a listing.
+type Page struct {
+	Items []Item
+	// Last key of the page, from which the next one goes on.
+	Last string
+	At   uint64
+	More bool
+}
+
+// Store is read for the configuration and the back ends. Failures have the code STORE_UNAVAILABLE; Trouble tells their kind.
+type Store interface {
+	List(ctx context.Context, after string) (Page, error)
+	// Watch waits for changes after a revision and returns them with the revision to go on from.
+	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Item, uint64, error)
+	// Revision is a cheap look at the store's revision, which may be seconds old.
+	Revision(ctx context.Context) (uint64, error)
+	// Trouble is the kind of a failure of this store.
+	Trouble(err error) follow.Trouble
+}
+
+// keyState is what was last taken of a key.
+type keyState struct {
+	revision uint64
+	// backEnd is the id of the back end the key is about, empty for others.
+	backEnd string
+}
+
+// Bounds of a call to the store.
+const (
+	listTimeout     = 3 * time.Second
+	watchSlack      = 2 * time.Second
+	revisionTimeout = 1500 * time.Millisecond
+	// expireInterval is how often vanished entries and idle connections are looked through.
+	expireInterval = time.Second
+	// massShare of the back ends vanishing within one call is taken for trouble of the store, not for back ends leaving.
+	massShare = 3
+	massCount = 4
+)
+
+// Run follows the store until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	behind := make(chan struct{}, 1)
+	go g.lookAtRevision(ctx, behind)
+	go g.maintain(ctx)
+	for ctx.Err() == nil {
+		g.mutex.Lock()
+		call := g.follower.Next()
+		g.mutex.Unlock()
+		switch call.Kind {
+		case follow.Pause:
+			pause(ctx, call.For)
+		case follow.List:
+			g.list(ctx, call)
+		case follow.Watch:
+			g.watch(ctx, call, behind)
+		}
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (g *Gateway) list(ctx context.Context, call follow.Call) {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	page, err := g.store.List(bounded, call.After)
+	if err != nil {
+		g.failed(ctx, err)
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	g.regained(now)
+	if call.After == "" {
+		clear(g.listedKeys)
+	}
+	for i := range page.Items {
+		g.listedKeys[page.Items[i].Key] = true
+		g.take(now, &page.Items[i])
+	}
+	if g.follower.Page(now, page.Last, page.At, page.More) {
+		g.dropUnlisted(now)
+		g.listed.Store(true)
+		g.journal.Listed(len(g.listedKeys), page.At)
+	}
+}
+
+// dropUnlisted takes every known key that a whole listing did not name as vanished.
+func (g *Gateway) dropUnlisted(now time.Duration) {
+	for key, state := range g.keys {
+		if g.listedKeys[key] {
+			continue
+		}
+		delete(g.keys, key)
+		g.vanished(now, state, g.follower.Settled(now))
+	}
+	clear(g.listedKeys)
+}
+
+func (g *Gateway) watch(ctx context.Context, call follow.Call, behind <-chan struct{}) {
+	bounded, cancel := context.WithTimeout(ctx, call.For+watchSlack)
+	defer cancel()
+	finished := make(chan struct{})
+	defer close(finished)
+	go func() {
+		select {
+		case <-behind:
+			cancel()
+		case <-finished:
+		}
+	}()
+	items, at, err := g.store.Watch(bounded, call.Revision, call.For)
+	if err != nil {
+		g.watchFailed(ctx, call, err)
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	g.regained(now)
+	g.takeChanges(now, items)
+	g.follower.Changes(now, at, len(items))
+}
+
+// watchFailed tells a watch that was given up because a new listing is due from one that went wrong.
+func (g *Gateway) watchFailed(ctx context.Context, call follow.Call, err error) {
+	g.mutex.Lock()
+	relist := !g.follower.Listed()
+	g.mutex.Unlock()
+	if !relist {
+		g.failed(ctx, err)
+	}
+}
+
+func (g *Gateway) takeChanges(now time.Duration, items []Item) {
+	settled := g.follower.Settled(now)
+	if vanishing := countGone(items); vanishing >= massCount && vanishing*massShare > g.replicas.Len() {
+		settled = false
+	}
+	for i := range items {
+		item := &items[i]
+		if !item.Gone {
+			g.take(now, item)
+			continue
+		}
+		state := g.keys[item.Key]
+		if item.Revision > state.revision {
+			delete(g.keys, item.Key)
+			g.vanished(now, state, settled)
+		}
+	}
+}
+
+func countGone(items []Item) int {
+	count := 0
+	for i := range items {
+		if items[i].Gone {
+			count++
+		}
+	}
+	return count
+}
+
+// take brings an item in force unless a newer one of its key was taken.
+func (g *Gateway) take(now time.Duration, item *Item) {
+	state := g.keys[item.Key]
+	if item.Revision <= state.revision {
+		return
+	}
+	state.revision = item.Revision
+	if item.Err != nil {
+		g.journal.Rejected(item)
+	}
+	if item.BackEnd != nil {
+		state.backEnd = item.BackEnd.ID
+		if g.replicas.Put(now, *item.BackEnd) {
+			g.journal.BackEnd(*item.BackEnd, item.Revision)
+		}
+	}
+	if item.Configuration != nil {
+		g.adopt(item)
+	}
+	g.keys[item.Key] = state
+}
+
+// adopt puts a configuration in force if it is newer than the one that is. One that cannot be read changes nothing.
+func (g *Gateway) adopt(item *Item) {
+	current := g.table.Load()
+	if current != nil && item.Configuration.Version <= current.Version() {
+		return
+	}
+	compiled, err := routing.Compile(*item.Configuration)
+	if err != nil {
+		item.Err = err
+		g.journal.Rejected(item)
+		return
+	}
+	g.splitter.Retain(compiled)
+	g.table.Store(compiled)
+	g.journal.Configuration(compiled, item.Revision)
+}
+
+func (g *Gateway) vanished(now time.Duration, state keyState, settled bool) {
+	if state.backEnd != "" && g.replicas.Remove(now, state.backEnd, settled) {
+		g.journal.Vanished(state.backEnd, settled)
+	}
+}
+
+func (g *Gateway) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	trouble := g.store.Trouble(err)
+	g.journal.StoreLost(trouble, failure.From(err), g.follower.ContactAge(now))
+	g.follower.Failed(now, trouble)
+}
+
+func (g *Gateway) regained(now time.Duration) {
+	g.journal.StoreAnswered(g.follower.ContactAge(now))
+}
+
+// lookAtRevision looks beside the watch whether the store has moved on, since the silence of a watch proves nothing.
+func (g *Gateway) lookAtRevision(ctx context.Context, behind chan<- struct{}) {
+	if g.settings.RevisionInterval == 0 {
+		return
+	}
+	for ctx.Err() == nil {
+		pause(ctx, g.settings.RevisionInterval)
+		bounded, cancel := context.WithTimeout(ctx, revisionTimeout)
+		at, err := g.store.Revision(bounded)
+		cancel()
+		g.mutex.Lock()
+		now := g.now()
+		if err != nil {
+			g.follower.Unsettle(now)
+		} else if g.follower.Seen(now, at, g.settings.Follow.GatherFor+watchSlack/2) {
+			g.journal.Behind(g.follower.Revision(), at)
+			select {
+			case behind <- struct{}{}:
+			default:
+			}
+		}
+		g.mutex.Unlock()
+	}
+}
+
+// maintain forgets what is over: vanished back ends whose time of doubt has passed, and idle connections.
+func (g *Gateway) maintain(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, expireInterval)
+		addresses := map[string]bool{}
+		g.mutex.Lock()
+		for _, id := range g.replicas.Expire(g.now()) {
+			g.journal.Vanished(id, true)
+		}
+		g.replicas.All(func(known *replica.Replica) { addresses[known.Address] = !known.Draining })
+		g.mutex.Unlock()
+		g.backEnds.Prune(func(address string) bool { return addresses[address] })
+	}
+}
--- /dev/null
+++ b/internal/limit/sliding.go
@@ -0,0 +1,63 @@
+package limit
+
+import "time"
+
+// slidingBuckets is the number of parts a window is counted in.
+const slidingBuckets = 10
+
+// SlidingBudget allows extra attempts as a share of the requests seen in a window of time. Each node counts only its own
+// requests and spends only a share of them, so that the sum over all nodes keeps the same share without any exchange between
+// them; a node that has just started has nothing to spend.
+type SlidingBudget struct {
+	share    float64
+	window   time.Duration
+	newest   int64
+	requests [slidingBuckets]int
+	extras   [slidingBuckets]int
+}
+
+// NewSlidingBudget returns a budget of share extra attempts per request over any window.
+func NewSlidingBudget(share float64, window time.Duration) SlidingBudget {
+	return SlidingBudget{share: share, window: window}
+}
+
+// Request counts requests in.
+func (b *SlidingBudget) Request(now time.Duration, count int) {
+	b.requests[b.bucket(now)] += count
+}
+
+// Spend takes one extra attempt out of the budget, or reports false. The part of the budget that is kept back, from 0 to 1,
+// is left for more urgent uses.
+func (b *SlidingBudget) Spend(now time.Duration, keptBack float64) bool {
+	bucket := b.bucket(now)
+	if float64(sum(b.extras)+1) > b.share*(1-keptBack)*float64(sum(b.requests)) {
+		return false
+	}
+	b.extras[bucket]++
+	return true
+}
+
+// Left is the number of extra attempts that may be spent now.
+func (b *SlidingBudget) Left(now time.Duration) int {
+	b.bucket(now)
+	return max(0, int(b.share*float64(sum(b.requests)))-sum(b.extras))
+}
+
+// bucket clears what has left the window and returns the index of the present part.
+func (b *SlidingBudget) bucket(now time.Duration) int64 {
+	number := int64(now / (b.window / slidingBuckets))
+	for step := max(b.newest+1, number-slidingBuckets+1); step <= number; step++ {
+		b.requests[step%slidingBuckets] = 0
+		b.extras[step%slidingBuckets] = 0
+	}
+	b.newest = max(b.newest, number)
+	return b.newest % slidingBuckets
+}
+
+func sum(counts [slidingBuckets]int) int {
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
--- /dev/null
+++ b/internal/replica/outcome.go
@@ -0,0 +1,96 @@
+package replica
+
+import "time"
+
+// How failures take a replica out.
+const (
+	// failuresToEject in a row take a replica out; a failed connection does so at once.
+	failuresToEject = 2
+	firstEjection   = 250 * time.Millisecond
+	longestEjection = 4 * time.Second
+)
+
+// Verdict is what the end of an attempt says of its replica.
+type Verdict int
+
+// The verdicts.
+const (
+	// Answered: it gave an answer of its own.
+	Answered Verdict = iota
+	// Refused: it is too full to take the request.
+	Refused
+	// Failed: a broken connection or answer.
+	Failed
+	// Unreachable: no connection was had.
+	Unreachable
+	// Misdirected: its address answers for another back end.
+	Misdirected
+	// Abandoned: the attempt was given up on before an answer.
+	Abandoned
+	// Neutral: the end says nothing of the replica.
+	Neutral
+)
+
+// Start counts an attempt in.
+func (r *Replica) Start(now time.Duration) {
+	r.inFlight = append(r.inFlight, now)
+}
+
+// Finish counts out an attempt that started at the given time. It reports whether the replica was ejected by it.
+func (r *Replica) Finish(now, started time.Duration, verdict Verdict) (ejected bool) {
+	for i, start := range r.inFlight {
+		if start == started {
+			r.inFlight = append(r.inFlight[:i], r.inFlight[i+1:]...)
+			break
+		}
+	}
+	elapsed := now - started
+	switch verdict {
+	case Answered:
+		r.failures = 0
+		r.ejectedUntil = 0
+		r.sample(now, elapsed)
+	case Abandoned:
+		r.abandoned(now, elapsed)
+	case Refused:
+		r.sample(now, max(elapsed, 2*r.decayed(now)))
+	case Failed:
+		r.failures++
+		if r.failures >= failuresToEject {
+			return r.eject(now)
+		}
+	case Unreachable:
+		r.failures += failuresToEject
+		return r.eject(now)
+	case Misdirected:
+		r.misdirected = true
+	}
+	return false
+}
+
+// abandoned learns from an attempt without an answer only that the latency is at least its age.
+func (r *Replica) abandoned(now, elapsed time.Duration) {
+	if elapsed > r.decayed(now) {
+		r.sample(now, elapsed)
+	}
+}
+
+func (r *Replica) sample(now, elapsed time.Duration) {
+	if r.latency == 0 {
+		r.latency = elapsed
+	} else {
+		average := r.decayed(now)
+		r.latency = average + time.Duration(latencyGain*float64(elapsed-average))
+	}
+	r.sampledAt = now
+}
+
+func (r *Replica) eject(now time.Duration) bool {
+	length := firstEjection
+	for i := failuresToEject; i < r.failures && length < longestEjection; i++ {
+		length *= 2
+	}
+	before := r.Ejected(now)
+	r.ejectedUntil = now + min(length, longestEjection)
+	return !before
+}
--- /dev/null
+++ b/internal/replica/pick.go
@@ -0,0 +1,118 @@
+package replica
+
+import (
+	"slices"
+	"time"
+)
+
+// How the choice weighs what is known.
+const (
+	// unknownLatency stands for the latency of a replica without a sample.
+	unknownLatency = 10 * time.Millisecond
+	// jitter spreads the choice among replicas that are about as good.
+	jitter = 0.1
+	// coldFactor is the slowdown expected of a back end that has just started.
+	coldFactor = 1.6
+	// forgetAfter is the time in which the latency of an unused replica halves, so that it is tried again.
+	forgetAfter = 2 * time.Second
+	// latencyGain is the weight of a new sample in the moving average.
+	latencyGain = 0.3
+)
+
+// Candidate says whether a replica may be picked at all: not draining, not at an address that answers for another.
+func (r *Replica) candidate() bool {
+	return !r.Draining && !r.misdirected
+}
+
+// Pick returns the best replica of a service, none of those excluded, or nil. Busy is set where there are replicas but each
+// has all the attempts under way that it may have.
+func (s *Set) Pick(now time.Duration, service string, excluded []*Replica) (best *Replica, busy bool) {
+	var bestScore float64
+	bestRank := rankNever
+	for _, member := range s.byService[service] {
+		if !member.candidate() || slices.Contains(excluded, member) {
+			continue
+		}
+		if len(member.inFlight) >= s.settings.Connections {
+			busy = true
+			continue
+		}
+		rank := member.rank(now)
+		score := s.score(now, member)
+		if best == nil || rank < bestRank || (rank == bestRank && score < bestScore) {
+			best, bestRank, bestScore = member, rank, score
+		}
+	}
+	return best, best == nil && busy
+}
+
+// Has reports whether a service has any replica that may be picked.
+func (s *Set) Has(service string) bool {
+	for _, member := range s.byService[service] {
+		if member.candidate() {
+			return true
+		}
+	}
+	return false
+}
+
+// rank orders replicas before their scores are compared.
+type rank int
+
+const (
+	rankGood rank = iota
+	rankDoubtful
+	rankEjected
+	rankNever
+)
+
+func (r *Replica) rank(now time.Duration) rank {
+	if r.Ejected(now) {
+		return rankEjected
+	}
+	if r.goneAt != 0 {
+		return rankDoubtful
+	}
+	return rankGood
+}
+
+// score is the latency expected of one more attempt, in nanoseconds, with the additions for distance.
+func (s *Set) score(now time.Duration, r *Replica) float64 {
+	expected := float64(r.Expected(now)) * float64(1+len(r.inFlight))
+	if now < r.coldUntil {
+		expected *= coldFactor
+	}
+	expected *= 1 + jitter*(2*s.random.Float64()-1)
+	return expected + float64(s.distance(r))
+}
+
+func (s *Set) distance(r *Replica) time.Duration {
+	if r.Zone == s.places.Zone {
+		return 0
+	}
+	if s.places.Regions[r.Zone] == s.places.Regions[s.places.Zone] {
+		return s.settings.OtherZone
+	}
+	return s.settings.OtherRegion
+}
+
+// Expected is the latency expected of an attempt: the average, decayed while the replica is unused, and no less than the age
+// of the oldest attempt without an answer.
+func (r *Replica) Expected(now time.Duration) time.Duration {
+	expected := r.decayed(now)
+	if len(r.inFlight) > 0 {
+		expected = max(expected, now-r.inFlight[0])
+	}
+	return expected
+}
+
+func (r *Replica) decayed(now time.Duration) time.Duration {
+	if r.latency == 0 {
+		return unknownLatency
+	}
+	expected := r.latency
+	for unused := now - r.sampledAt; unused >= forgetAfter && expected > unknownLatency; unused -= forgetAfter {
+		expected /= 2
+	}
+	return max(expected, unknownLatency)
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,164 @@
+// Package replica keeps what a node believes of the back ends of each service, and picks one for an attempt.
+//
+// It reads no clock and does no I/O. Times are of the caller's monotonic clock, as durations from an arbitrary start.
+// It is not safe for concurrent use.
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Entry is a back end as the discovery service tells it.
+type Entry struct {
+	// ID names one incarnation of a back end.
+	ID      string
+	Service string
+	// Address is an IP address and port; another incarnation may have it later.
+	Address string
+	Zone    string
+	// Slots is the number of requests the back end works on at a time.
+	Slots    int
+	Draining bool
+	// ColdFor is how much longer the back end is slow after its start.
+	ColdFor time.Duration
+}
+
+// Replica is a back end with what attempts at it have shown.
+type Replica struct {
+	Entry
+	// inFlight has the start of each attempt under way, oldest first.
+	inFlight []time.Duration
+	// latency is a moving average; sampledAt is when it was last brought up to date.
+	latency   time.Duration
+	sampledAt time.Duration
+	coldUntil time.Duration
+	// failures in a row, and until when the replica is only picked as a last choice.
+	failures     int
+	ejectedUntil time.Duration
+	// goneAt is when the entry vanished, zero while it is there. Doubtful: it vanished while the store was unsettled.
+	goneAt   time.Duration
+	doubtful bool
+	// misdirected: the address answers for another back end.
+	misdirected bool
+}
+
+// InFlight is the number of attempts under way.
+func (r *Replica) InFlight() int { return len(r.inFlight) }
+
+// Latency is the average the choice goes by.
+func (r *Replica) Latency() time.Duration { return r.latency }
+
+// Ejected reports whether the replica is a last choice at the moment.
+func (r *Replica) Ejected(now time.Duration) bool { return now < r.ejectedUntil }
+
+// Places tells how far a back end is.
+type Places struct {
+	Zone string
+	// Regions gives the region of each zone.
+	Regions map[string]string
+}
+
+// Settings of the choice of replicas.
+type Settings struct {
+	// Connections is the largest number of attempts this node has under way at one back end.
+	Connections int
+	// OtherZone and OtherRegion are added to the expected latency of a replica outside the own zone or region, so that
+	// requests stay near unless the near replicas are worse by that much.
+	OtherZone   time.Duration
+	OtherRegion time.Duration
+	// DoubtFor is how long an entry that vanished while the store was unsettled is still used.
+	DoubtFor time.Duration
+}
+
+// Set is all back ends known to a node.
+type Set struct {
+	settings  Settings
+	places    Places
+	random    *rand.Rand
+	byID      map[string]*Replica
+	byService map[string][]*Replica
+}
+
+// NewSet returns an empty set.
+func NewSet(settings Settings, places Places, random *rand.Rand) *Set {
+	return &Set{
+		settings: settings, places: places, random: random,
+		byID: map[string]*Replica{}, byService: map[string][]*Replica{},
+	}
+}
+
+// Len is the number of back ends, vanished ones in doubt included.
+func (s *Set) Len() int { return len(s.byID) }
+
+// Get returns the back end of an id, or nil.
+func (s *Set) Get(id string) *Replica { return s.byID[id] }
+
+// Put takes in an entry as it is now. It reports whether anything changed that a choice goes by.
+func (s *Set) Put(now time.Duration, entry Entry) bool {
+	known := s.byID[entry.ID]
+	if known != nil && known.Service == entry.Service {
+		changed := known.Draining != entry.Draining || known.Address != entry.Address || known.goneAt != 0
+		known.Entry = entry
+		known.goneAt, known.doubtful = 0, false
+		known.coldUntil = now + entry.ColdFor
+		return changed
+	}
+	if known != nil {
+		s.forget(known)
+	}
+	added := &Replica{Entry: entry, sampledAt: now, coldUntil: now + entry.ColdFor}
+	s.byID[entry.ID] = added
+	s.byService[entry.Service] = append(s.byService[entry.Service], added)
+	return true
+}
+
+// Remove takes in that an entry has vanished. With settled, that is proof that the back end leaves; else it is used on for
+// a while, since a store in trouble may lose entries of back ends that are well.
+func (s *Set) Remove(now time.Duration, id string, settled bool) bool {
+	known := s.byID[id]
+	if known == nil {
+		return false
+	}
+	if settled {
+		s.forget(known)
+		return true
+	}
+	if known.goneAt == 0 {
+		known.goneAt, known.doubtful = now, true
+	}
+	return true
+}
+
+// Expire forgets vanished entries whose time of doubt is over, and returns their ids.
+func (s *Set) Expire(now time.Duration) []string {
+	var expired []string
+	for id, known := range s.byID {
+		if known.goneAt != 0 && now >= known.goneAt+s.settings.DoubtFor {
+			expired = append(expired, id)
+			s.forget(known)
+		}
+	}
+	return expired
+}
+
+// All calls visit for each back end.
+func (s *Set) All(visit func(*Replica)) {
+	for _, known := range s.byID {
+		visit(known)
+	}
+}
+
+func (s *Set) forget(known *Replica) {
+	delete(s.byID, known.ID)
+	members := s.byService[known.Service]
+	for i, member := range members {
+		if member != known {
+			continue
+		}
+		members[i] = members[len(members)-1]
+		members[len(members)-1] = nil
+		s.byService[known.Service] = members[:len(members)-1]
+		return
+	}
+}
--- /dev/null
+++ b/internal/routing/check.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"fmt"
+
+	"stiletrail/internal/failure"
+)
+
+// check finds the first fault of a configuration.
+func check(configuration *Configuration) error {
+	if configuration.Version == 0 {
+		return invalid("the configuration has no version")
+	}
+	for i := range configuration.Routes {
+		if err := checkRoute(&configuration.Routes[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkRoute(route *Route) error {
+	switch {
+	case route.Host == "" || route.Prefix == "" || route.Prefix[0] != '/':
+		return invalid("route %q has no host or path prefix", route.Name)
+	case route.MaximumAttempts < 1:
+		return invalid("route %q allows no attempt", route.Name)
+	case route.Timeout <= 0:
+		return invalid("route %q has no timeout", route.Name)
+	case !route.FansOut() && len(route.Targets) == 0:
+		return invalid("route %q names no service", route.Name)
+	case route.FansOut() && !route.Repeatable:
+		return invalid("route %q fans out requests that are not repeatable", route.Name)
+	case route.MinimumCoverage < 0 || route.MinimumCoverage > 1:
+		return invalid("route %q has a minimum coverage outside 0 to 1", route.Name)
+	}
+	return checkTargets(route)
+}
+
+func checkTargets(route *Route) error {
+	total := 0.0
+	for _, target := range route.Targets {
+		if target.Service == "" || target.Weight < 0 {
+			return invalid("route %q has a target without a service or with a negative weight", route.Name)
+		}
+		total += target.Weight
+	}
+	if !route.FansOut() && total <= 0 {
+		return invalid("route %q has no target with a weight", route.Name)
+	}
+	seen := map[string]bool{}
+	for _, shard := range route.Shards {
+		if shard == "" || seen[shard] {
+			return invalid("route %q has a shard without a name or named twice", route.Name)
+		}
+		seen[shard] = true
+	}
+	return nil
+}
+
+func invalid(format string, arguments ...any) error {
+	return failure.New(failure.InvalidArgument, fmt.Sprintf(format, arguments...))
+}
--- /dev/null
+++ b/internal/serving/serving.go
@@ -0,0 +1,147 @@
+// Package serving listens for callers, says whether the node is ready, serves its metrics, and stops it as planned.
+package serving
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/routing"
+)
+
+// Node is what is served.
+type Node interface {
+	Ready() bool
+	// Leave makes Ready false; the node serves on.
+	Leave()
+	// GiveUp answers all requests under way at once.
+	GiveUp()
+	UnderWay() int64
+	// Limits of what callers may send, false while unknown.
+	Limits() (routing.Limits, bool)
+}
+
+// Addresses to listen at. Metrics may be empty.
+type Addresses struct {
+	Callers string
+	Ready   string
+	Metrics string
+}
+
+// Times of a planned stop and of callers' connections.
+const (
+	// noticeTime is how long after a stop began requests still come, sent by those that have not noticed.
+	noticeTime = 2500 * time.Millisecond
+	// answerTime is kept at the end of a stop for the last answers.
+	answerTime = 600 * time.Millisecond
+	// checkInterval is the pause between looks whether a stop may end.
+	checkInterval = 50 * time.Millisecond
+	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration states others.
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	defaultHeaderBytes   = 64 << 10
+)
+
+// Server serves one node.
+type Server struct {
+	node        Node
+	callers     *http.Server
+	others      []*http.Server
+	connections atomic.Int64
+	failed      chan error
+}
+
+// Start listens at all addresses.
+func Start(node Node, addresses Addresses, callers, metrics http.Handler) (*Server, error) {
+	s := &Server{node: node, failed: make(chan error, 3)}
+	s.callers = s.callerServer(callers)
+	if err := s.listen(addresses.Callers, s.callers); err != nil {
+		return nil, err
+	}
+	if err := s.listenAside(addresses.Ready, http.HandlerFunc(s.serveReady)); err != nil {
+		return nil, err
+	}
+	if addresses.Metrics == "" {
+		return s, nil
+	}
+	return s, s.listenAside(addresses.Metrics, metrics)
+}
+
+// Failed delivers the failure of a listener.
+func (s *Server) Failed() <-chan error { return s.failed }
+
+func (s *Server) callerServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		MaxHeaderBytes: defaultHeaderBytes, ConnState: s.count, DisableGeneralOptionsHandler: true,
+	}
+}
+
+// UseLimits applies the operator's limits to connections from now on. It is called before the node says that it is ready.
+func (s *Server) UseLimits(limits routing.Limits) {
+	if limits.IdleTimeout > 0 {
+		s.callers.IdleTimeout = limits.IdleTimeout
+	}
+}
+
+func (s *Server) listenAside(address string, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	s.others = append(s.others, server)
+	return s.listen(address, server)
+}
+
+func (s *Server) listen(address string, server *http.Server) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return failure.Wrap(err, failure.SettingsInvalid, "cannot listen at "+address)
+	}
+	go func() {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			s.failed <- failure.Wrap(err, failure.Internal, "the listener at "+address+" failed")
+		}
+	}()
+	return nil
+}
+
+func (s *Server) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.connections.Add(-1)
+	}
+}
+
+// Connections of callers that are open.
+func (s *Server) Connections() int64 { return s.connections.Load() }
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.node.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Stop stops the node within the given time: it says that it is not ready, serves what still comes, and ends when nobody is
+// connected any more or the time is over. It reports whether nothing was cut short.
+func (s *Server) Stop(within time.Duration) bool {
+	started := time.Now()
+	s.node.Leave()
+	for elapsed := time.Duration(0); elapsed < within-answerTime; elapsed = time.Since(started) {
+		if elapsed > noticeTime && s.node.UnderWay() == 0 && s.Connections() == 0 {
+			break
+		}
+		time.Sleep(checkInterval)
+	}
+	whole := s.node.UnderWay() == 0
+	s.node.GiveUp()
+	bounded, cancel := context.WithTimeout(context.Background(), answerTime/2)
+	defer cancel()
+	_ = s.callers.Shutdown(bounded)
+	for _, server := range s.others {
+		_ = server.Close()
+	}
+	return whole
+}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,100 @@
+package settings
+
+import (
+	"strings"
+	"time"
+)
+
+// Gateway settings: of a node that asks back ends itself and learns everything else from the store.
+type Gateway struct {
+	Node string
+	// CallerAddress serves callers, ReadyAddress tells whether the node should get any, MetricsAddress serves metrics.
+	CallerAddress  string
+	ReadyAddress   string
+	MetricsAddress string
+	// StoreAddress of the store that holds the configuration and the back ends.
+	StoreAddress string
+	Zone         string
+	// Regions gives the region of each zone.
+	Regions  map[string]string
+	LogLevel string
+	// StopWithin bounds a planned stop.
+	StopWithin time.Duration
+	// EntryInterval is how often back ends renew their entries.
+	EntryInterval time.Duration
+	// RetryShare of a service's requests may be extra attempts in any RetryWindow, over all nodes.
+	RetryShare  float64
+	RetryWindow time.Duration
+	// Connections is the largest number of connections of this node to one back end.
+	Connections int
+	// HedgeShare of a route's target latency is waited before another replica is asked too; 0 turns hedging off.
+	HedgeShare float64
+	// EarlyFinish answers at the target latency with what is there, where that is enough.
+	EarlyFinish bool
+	// Locality is the latency by which a replica in another region must be better to be picked; 0 turns locality off.
+	Locality time.Duration
+	// MaximumRequests bounds the requests under way.
+	MaximumRequests int
+}
+
+// DefaultGateway gives the settings of fields that are not set.
+func DefaultGateway() Gateway {
+	return Gateway{
+		LogLevel: "info", StopWithin: 6 * time.Second, EntryInterval: 1200 * time.Millisecond, RetryShare: 0.2,
+		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.25, EarlyFinish: true, Locality: 80 * time.Millisecond,
+		MaximumRequests: 2000,
+	}
+}
+
+var gatewayFields = []field[Gateway]{
+	{"node", "1 to 64 characters", true, func(s *Gateway, value string) bool {
+		s.Node = value
+		return value != "" && len(value) <= 64
+	}},
+	{"caller_address", addressAllowed, true, address(func(s *Gateway) *string { return &s.CallerAddress })},
+	{"ready_address", addressAllowed, true, address(func(s *Gateway) *string { return &s.ReadyAddress })},
+	{"metrics_address", addressAllowed, false, address(func(s *Gateway) *string { return &s.MetricsAddress })},
+	{"store_address", addressAllowed, true, address(func(s *Gateway) *string { return &s.StoreAddress })},
+	{"zone", "1 to 32 characters without blanks and slashes", true, name(func(s *Gateway) *string { return &s.Zone })},
+	{"regions", "a list of zone=region", false, setRegions},
+	{"log_level", "debug, info, warn or error", false, func(s *Gateway, value string) bool { return setLevel(&s.LogLevel, value) }},
+	{"stop_within", "1s to 10m", false, duration(time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.StopWithin })},
+	{"entry_interval", "50ms to 1m", false, duration(50*time.Millisecond, time.Minute, func(s *Gateway) *time.Duration { return &s.EntryInterval })},
+	{"retry_share", "0 to 1", false, share(func(s *Gateway) *float64 { return &s.RetryShare })},
+	{"retry_window", "1s to 10m", false, duration(time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.RetryWindow })},
+	{"connections_per_back_end", "1 to 4096", false, integer(1, 4096, func(s *Gateway) *int { return &s.Connections })},
+	{"hedge_share", "0 to 1", false, share(func(s *Gateway) *float64 { return &s.HedgeShare })},
+	{"early_finish", "true or false", false, setEarlyFinish},
+	{"locality", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.Locality })},
+	{"maximum_requests", "1 to 1000000", false, integer(1, 1000000, func(s *Gateway) *int { return &s.MaximumRequests })},
+}
+
+func setRegions(s *Gateway, value string) bool {
+	s.Regions = map[string]string{}
+	for _, pair := range strings.Split(value, ",") {
+		zone, region, found := strings.Cut(strings.TrimSpace(pair), "=")
+		if !found || zone == "" || region == "" {
+			return false
+		}
+		s.Regions[zone] = region
+	}
+	return true
+}
+
+func setEarlyFinish(s *Gateway, value string) bool {
+	s.EarlyFinish = value == "true"
+	return value == "true" || value == "false"
+}
+
+// LoadGateway reads the settings file of a gateway and the overrides. The failure, of code SETTINGS_INVALID, lists all problems.
+func LoadGateway(path string, overrides []Override) (Gateway, error) {
+	return load(path, overrides, DefaultGateway(), gatewayFields)
+}
+
+// ParseGateway reads the settings of a gateway from the text of a file, and returns all problems.
+func ParseGateway(file string, text []byte, overrides []Override) (Gateway, []Problem) {
+	return parse(file, text, overrides, DefaultGateway(), gatewayFields)
+}
+
+// GatewayNames returns the names of all fields of a gateway.
+func GatewayNames() []string { return namesOf(gatewayFields) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,11 +55,11 @@
 }
 
 // field describes one setting: how it is read, and what is allowed.
-type field struct {
+type field[T any] struct {
 	name     string
 	allowed  string
 	required bool
-	set      func(s *Settings, value string) bool
+	set      func(s *T, value string) bool
 }
 
 // Problem is one fault of the settings.
@@ -85,39 +85,39 @@
 	return err == nil
 }
 
-func address(target func(*Settings) *string) func(*Settings, string) bool {
-	return func(s *Settings, value string) bool {
+func address[T any](target func(*T) *string) func(*T, string) bool {
+	return func(s *T, value string) bool {
 		*target(s) = value
 		return isAddress(value)
 	}
 }
 
-func name(target func(*Settings) *string) func(*Settings, string) bool {
+func name[T any](target func(*T) *string) func(*T, string) bool {
 	const maximumName = 32
-	return func(s *Settings, value string) bool {
+	return func(s *T, value string) bool {
 		*target(s) = value
 		return value != "" && len(value) <= maximumName && !strings.ContainsAny(value, " \t/")
 	}
 }
 
-func integer(minimum, maximum int, target func(*Settings) *int) func(*Settings, string) bool {
-	return func(s *Settings, value string) bool {
+func integer[T any](minimum, maximum int, target func(*T) *int) func(*T, string) bool {
+	return func(s *T, value string) bool {
 		number, err := strconv.Atoi(value)
 		*target(s) = number
 		return err == nil && number >= minimum && number <= maximum
 	}
 }
 
-func share(target func(*Settings) *float64) func(*Settings, string) bool {
-	return func(s *Settings, value string) bool {
+func share[T any](target func(*T) *float64) func(*T, string) bool {
+	return func(s *T, value string) bool {
 		number, err := strconv.ParseFloat(value, 64)
 		*target(s) = number
 		return err == nil && number >= 0 && number <= 1
 	}
 }
 
-func duration(minimum, maximum time.Duration, target func(*Settings) *time.Duration) func(*Settings, string) bool {
-	return func(s *Settings, value string) bool {
+func duration[T any](minimum, maximum time.Duration, target func(*T) *time.Duration) func(*T, string) bool {
+	return func(s *T, value string) bool {
 		length, err := time.ParseDuration(value)
 		*target(s) = length
 		return err == nil && length >= minimum && length <= maximum
@@ -126,7 +126,7 @@
 
 const addressAllowed = "an IP address and port, as 127.0.0.1:7000"
 
-var fields = []field{
+var fields = []field[Settings]{
 	{"http_address", addressAllowed, true, address(func(s *Settings) *string { return &s.HTTPAddress })},
 	{"peer_address", addressAllowed, true, address(func(s *Settings) *string { return &s.PeerAddress })},
 	{"advertised_address", addressAllowed, false, address(func(s *Settings) *string { return &s.AdvertisedAddress })},
@@ -167,8 +167,10 @@
 	return ok && isAddress(rest)
 }
 
-func setLogLevel(s *Settings, value string) bool {
-	s.LogLevel = value
+func setLogLevel(s *Settings, value string) bool { return setLevel(&s.LogLevel, value) }
+
+func setLevel(target *string, value string) bool {
+	*target = value
 	return value == "debug" || value == "info" || value == "warn" || value == "error"
 }
 
@@ -185,15 +187,19 @@
 
 // Load reads the file, where a path is given, and the overrides. The failure, of code SETTINGS_INVALID, lists all problems.
 func Load(path string, overrides []Override) (Settings, error) {
+	return load(path, overrides, Default(), fields)
+}
+
+func load[T any](path string, overrides []Override, defaults T, fields []field[T]) (T, error) {
 	var text []byte
 	if path != "" {
 		read, err := os.ReadFile(path)
 		if err != nil {
-			return Settings{}, failure.Wrap(err, failure.SettingsInvalid, "the settings file cannot be read")
+			return defaults, failure.Wrap(err, failure.SettingsInvalid, "the settings file cannot be read")
 		}
 		text = read
 	}
-	loaded, problems := Parse(path, text, overrides)
+	loaded, problems := parse(path, text, overrides, defaults, fields)
 	if len(problems) == 0 {
 		return loaded, nil
 	}
@@ -206,7 +212,11 @@
 
 // Parse reads settings from the text of a file and overrides, and returns all problems.
 func Parse(file string, text []byte, overrides []Override) (Settings, []Problem) {
-	reader := reader{file: file, settings: Default(), seen: map[string]bool{}}
+	return parse(file, text, overrides, Default(), fields)
+}
+
+func parse[T any](file string, text []byte, overrides []Override, defaults T, fields []field[T]) (T, []Problem) {
+	reader := reader[T]{file: file, settings: defaults, fields: fields, seen: map[string]bool{}}
 	reader.text(text)
 	for _, override := range overrides {
 		reader.seen[override.Field] = false
@@ -220,21 +230,22 @@
 	return reader.settings, reader.problems
 }
 
-type reader struct {
+type reader[T any] struct {
 	file     string
-	settings Settings
+	settings T
+	fields   []field[T]
 	seen     map[string]bool
 	problems []Problem
 }
 
-func (r *reader) problem(file string, line int, field, found, allowed string) {
+func (r *reader[T]) problem(file string, line int, field, found, allowed string) {
 	if file == "" {
 		file = "flags"
 	}
 	r.problems = append(r.problems, Problem{File: file, Line: line, Field: field, Found: found, Allowed: allowed})
 }
 
-func (r *reader) text(text []byte) {
+func (r *reader[T]) text(text []byte) {
 	if len(text) == 0 {
 		return
 	}
@@ -248,7 +259,7 @@
 	}
 }
 
-func (r *reader) document(body ast.Node) {
+func (r *reader[T]) document(body ast.Node) {
 	var values []*ast.MappingValueNode
 	switch node := body.(type) {
 	case nil:
@@ -285,8 +296,8 @@
 	return node.GetToken().Value
 }
 
-func (r *reader) take(file string, line int, key, value string) {
-	for _, known := range fields {
+func (r *reader[T]) take(file string, line int, key, value string) {
+	for _, known := range r.fields {
 		if known.name != key {
 			continue
 		}
@@ -300,11 +311,13 @@
 		}
 		return
 	}
-	r.problem(file, line, key, "an unknown field", "one of "+strings.Join(Names(), ", "))
+	r.problem(file, line, key, "an unknown field", "one of "+strings.Join(namesOf(r.fields), ", "))
 }
 
 // Names returns the names of all fields.
-func Names() []string {
+func Names() []string { return namesOf(fields) }
+
+func namesOf[T any](fields []field[T]) []string {
 	names := make([]string, 0, len(fields))
 	for _, known := range fields {
 		names = append(names, known.name)
