--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -48,7 +48,6 @@
 	EventBackEnd        = "back_end"
 	EventVanished       = "back_end_vanished"
 	EventListed         = "store_listed"
-	EventBehind         = "store_watch_behind"
 	EventStoreLost      = "store_lost"
 	EventStoreRegained  = "store_regained"
 	EventLinesDropped   = "lines_dropped"
@@ -197,11 +196,6 @@
 	l.log.WithFields(logrus.Fields{fieldEvent: EventListed, "items": items, fieldRevision: revision}).Info(EventListed)
 }
 
-// Behind implements gateway.Journal.
-func (l *Log) Behind(known, seen uint64) {
-	l.log.WithFields(logrus.Fields{fieldEvent: EventBehind, fieldRevision: known, "seen": seen}).Warn(EventBehind)
-}
-
 // StoreLost implements gateway.Journal. Only the first failure in a row is written.
 func (l *Log) StoreLost(trouble follow.Trouble, cause *failure.Failure, contactAge time.Duration) {
 	if !l.lost.lose() {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,7 +26,9 @@
 
 // Settings of the reading.
 type Settings struct {
-	// WatchFor is how long a watch waits for a change.
+	// WatchFor is how long a watch waits for a change. The silence of a watch proves nothing: a store that drops its history
+	// may cut it without a word, and only the next one says that a change was missed. So it is kept shorter than the time
+	// in which changes must be in force.
 	WatchFor time.Duration
 	// GatherFor is the pause after changes came, so that changes close to each other cost one call.
 	GatherFor time.Duration
@@ -75,9 +77,6 @@
 	troubledAt time.Duration
 	// contactAt is when the store last answered; -1 for never.
 	contactAt time.Duration
-	// ahead is a revision the store was seen at while no watch told of it, since aheadSince.
-	ahead      uint64
-	aheadSince time.Duration
 }
 
 // New returns a Core that begins with a listing. The function returns random numbers from 0 to 1.
@@ -164,26 +163,6 @@
 	}
 }
 
-// Seen takes in the revision that the store was seen at beside the watch. A store that stays ahead of the watch has lost or
-// withheld a change: it reports true, and the next call lists again.
-func (c *Core) Seen(now time.Duration, at uint64, patience time.Duration) bool {
-	if !c.listed || c.listing || at <= c.revision {
-		c.ahead = 0
-		return false
-	}
-	if c.ahead == 0 || c.ahead <= c.revision {
-		c.ahead, c.aheadSince = at, now
-		return false
-	}
-	if now-c.aheadSince < patience {
-		return false
-	}
-	c.ahead = 0
-	c.troubledAt = now
-	c.relist()
-	return true
-}
-
 func (c *Core) relist() {
 	c.listed = false
 	c.listing = false
@@ -194,6 +173,3 @@
 	c.contactAt = now
 	c.backoff = 0
 }
-
-// Unsettle takes in that a look at the store beside the watch went wrong.
-func (c *Core) Unsettle(now time.Duration) { c.troubledAt = now }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,8 +61,6 @@
 	HedgeReserve float64
 	// Linger is how long an attempt whose answer is of no more use may go on before its connection is closed.
 	Linger time.Duration
-	// RevisionInterval is the pause between looks at the store's revision beside the watch; 0 for none.
-	RevisionInterval time.Duration
 	// MaximumRequests bounds the requests under way.
 	MaximumRequests int
 }
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -19,7 +19,6 @@
 	BackEnd(entry replica.Entry, revision uint64)
 	Vanished(id string, certain bool)
 	Listed(items int, revision uint64)
-	Behind(known, seen uint64)
 	StoreLost(trouble follow.Trouble, cause *failure.Failure, contactAge time.Duration)
 	StoreAnswered(contactAge time.Duration)
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,15 +16,14 @@
 	// doubtIntervals of renewal are waited for an entry to come back that vanished while the store was unsettled.
 	doubtIntervals = 1.6
 	// retryMargin of the retry budget is not used, for what cannot be counted, such as a restart of a node.
-	retryMargin      = 0.1
-	hedgeReserve     = 0.15
-	linger           = 150 * time.Millisecond
-	watchFor         = 15 * time.Second
-	gatherFor        = 900 * time.Millisecond
-	settleFor        = 5 * time.Second
-	firstBackoff     = 100 * time.Millisecond
-	longestBackoff   = time.Second
-	revisionInterval = 2 * time.Second
+	retryMargin    = 0.1
+	hedgeReserve   = 0.15
+	linger         = 150 * time.Millisecond
+	watchFor       = 2500 * time.Millisecond
+	gatherFor      = 900 * time.Millisecond
+	settleFor      = 5 * time.Second
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = time.Second
 )
 
 // FromSettings gives the gateway's settings for those of the operator.
@@ -40,6 +39,6 @@
 		},
 		Places:     replica.Places{Zone: s.Zone, Regions: s.Regions},
 		RetryShare: s.RetryShare * (1 - retryMargin), RetryWindow: s.RetryWindow, HedgeReserve: hedgeReserve,
-		Linger: linger, RevisionInterval: revisionInterval, MaximumRequests: s.MaximumRequests,
+		Linger: linger, MaximumRequests: s.MaximumRequests,
 	}
 }
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -38,8 +38,6 @@
 	List(ctx context.Context, after string) (Page, error)
 	// Watch waits for changes after a revision and returns them with the revision to go on from.
 	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Item, uint64, error)
-	// Revision is a cheap look at the store's revision, which may be seconds old.
-	Revision(ctx context.Context) (uint64, error)
 	// Trouble is the kind of a failure of this store.
 	Trouble(err error) follow.Trouble
 }
@@ -53,9 +51,8 @@
 
 // Bounds of a call to the store.
 const (
-	listTimeout     = 3 * time.Second
-	watchSlack      = 2 * time.Second
-	revisionTimeout = 1500 * time.Millisecond
+	listTimeout = 3 * time.Second
+	watchSlack  = 1500 * time.Millisecond
 	// expireInterval is how often vanished entries and idle connections are looked through.
 	expireInterval = time.Second
 	// massShare of the back ends vanishing within one call is taken for trouble of the store, not for back ends leaving.
@@ -65,8 +62,6 @@
 
 // Run follows the store until the context ends.
 func (g *Gateway) Run(ctx context.Context) {
-	behind := make(chan struct{}, 1)
-	go g.lookAtRevision(ctx, behind)
 	go g.maintain(ctx)
 	for ctx.Err() == nil {
 		g.mutex.Lock()
@@ -78,7 +73,7 @@
 		case follow.List:
 			g.list(ctx, call)
 		case follow.Watch:
-			g.watch(ctx, call, behind)
+			g.watch(ctx, call)
 		}
 	}
 }
@@ -112,9 +107,9 @@
 		g.take(now, &page.Items[i])
 	}
 	if g.follower.Page(now, page.Last, page.At, page.More) {
+		g.journal.Listed(len(g.listedKeys), page.At)
 		g.dropUnlisted(now)
 		g.listed.Store(true)
-		g.journal.Listed(len(g.listedKeys), page.At)
 	}
 }
 
@@ -130,21 +125,12 @@
 	clear(g.listedKeys)
 }
 
-func (g *Gateway) watch(ctx context.Context, call follow.Call, behind <-chan struct{}) {
+func (g *Gateway) watch(ctx context.Context, call follow.Call) {
 	bounded, cancel := context.WithTimeout(ctx, call.For+watchSlack)
 	defer cancel()
-	finished := make(chan struct{})
-	defer close(finished)
-	go func() {
-		select {
-		case <-behind:
-			cancel()
-		case <-finished:
-		}
-	}()
 	items, at, err := g.store.Watch(bounded, call.Revision, call.For)
 	if err != nil {
-		g.watchFailed(ctx, call, err)
+		g.failed(ctx, err)
 		return
 	}
 	g.mutex.Lock()
@@ -155,16 +141,6 @@
 	g.follower.Changes(now, at, len(items))
 }
 
-// watchFailed tells a watch that was given up because a new listing is due from one that went wrong.
-func (g *Gateway) watchFailed(ctx context.Context, call follow.Call, err error) {
-	g.mutex.Lock()
-	relist := !g.follower.Listed()
-	g.mutex.Unlock()
-	if !relist {
-		g.failed(ctx, err)
-	}
-}
-
 func (g *Gateway) takeChanges(now time.Duration, items []Item) {
 	settled := g.follower.Settled(now)
 	if vanishing := countGone(items); vanishing >= massCount && vanishing*massShare > g.replicas.Len() {
@@ -255,31 +231,6 @@
 	g.journal.StoreAnswered(g.follower.ContactAge(now))
 }
 
-// lookAtRevision looks beside the watch whether the store has moved on, since the silence of a watch proves nothing.
-func (g *Gateway) lookAtRevision(ctx context.Context, behind chan<- struct{}) {
-	if g.settings.RevisionInterval == 0 {
-		return
-	}
-	for ctx.Err() == nil {
-		pause(ctx, g.settings.RevisionInterval)
-		bounded, cancel := context.WithTimeout(ctx, revisionTimeout)
-		at, err := g.store.Revision(bounded)
-		cancel()
-		g.mutex.Lock()
-		now := g.now()
-		if err != nil {
-			g.follower.Unsettle(now)
-		} else if g.follower.Seen(now, at, g.settings.Follow.GatherFor+watchSlack/2) {
-			g.journal.Behind(g.follower.Revision(), at)
-			select {
-			case behind <- struct{}{}:
-			default:
-			}
-		}
-		g.mutex.Unlock()
-	}
-}
-
 // maintain forgets what is over: vanished back ends whose time of doubt has passed, and idle connections.
 func (g *Gateway) maintain(ctx context.Context) {
 	for ctx.Err() == nil {
