Refuse at the start where too few shards have a known back end; read the store sooner then

Nothing need be sent: refused with 503 and when to come back. Changes were gathered 0.9 s although requests were refused for want of back ends.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -50,6 +50,8 @@
 	Watch
 	// Pause: do nothing for Call.For.
 	Pause
+	// Gather: let changes pile up for Call.For, or for less if they are needed.
+	Gather
 )
 
 // Call is what to do next.
@@ -72,6 +74,7 @@
 	listing  bool
 	listedAt uint64
 	pause    time.Duration
+	gather   bool
 	backoff  time.Duration
 	// troubledAt is when the store was last in trouble, or a listing began anew; -1 for never.
 	troubledAt time.Duration
@@ -106,9 +109,12 @@
 // Next returns what to do now.
 func (c *Core) Next() Call {
 	if c.pause > 0 {
-		pause := c.pause
-		c.pause = 0
-		return Call{Kind: Pause, For: pause}
+		call := Call{Kind: Pause, For: c.pause}
+		if c.gather {
+			call.Kind = Gather
+		}
+		c.pause, c.gather = 0, false
+		return call
 	}
 	if !c.listed || c.listing {
 		return Call{Kind: List, After: c.after}
@@ -140,13 +146,14 @@
 	c.answered(now)
 	c.revision = max(c.revision, at)
 	if count > 0 {
-		c.pause = c.settings.GatherFor
+		c.pause, c.gather = c.settings.GatherFor, true
 	}
 }
 
 // Failed takes in that a call went wrong.
 func (c *Core) Failed(now time.Duration, trouble Trouble) {
 	c.troubledAt = now
+	c.gather = false
 	if trouble == HistoryLost {
 		c.relist()
 		return
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -10,9 +10,8 @@
 const (
 	// offerShare of the target latency is how long a request is held that no back end has room for.
 	offerShare = 5
-	// overloadedRetryAfter and noReplicaRetryAfter are said where no back end named a time.
+	// overloadedRetryAfter is said where no back end named a time.
 	overloadedRetryAfter = 60 * time.Millisecond
-	noReplicaRetryAfter  = 250 * time.Millisecond
 )
 
 // Answer is what the caller gets. One of Passed, Records with Signatures, and Failure is set.
@@ -144,7 +143,7 @@
 		return
 	}
 	if !r.anySent {
-		r.finish(Answer{Reason: NoBackEnd, Failure: r.refusal(failure.NoReplica, noReplicaRetryAfter)})
+		r.finish(Answer{Reason: NoBackEnd, Failure: r.refusal(failure.NoReplica, r.settings.ComeBack)})
 		return
 	}
 	r.finish(Answer{Reason: AllRefused, Failure: r.refusal(failure.Overloaded, overloadedRetryAfter)})
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"stiletrail/internal/failure"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
 )
@@ -30,6 +31,8 @@
 	EarlyFinish bool
 	// AnswerMargin is kept before the target latency and the caller's deadline, for the way back to the caller.
 	AnswerMargin time.Duration
+	// ComeBack is when a caller may come back that was refused because too few back ends are known.
+	ComeBack time.Duration
 }
 
 // Kind of an outcome.
@@ -183,10 +186,26 @@
 		r.shards[i].service = service
 		r.try(now, i, First)
 	}
+	r.refuseTooFew()
 	r.decide(now)
 	return r, r.take()
 }
 
+// refuseTooFew refuses a request at its start where too few shards have a back end that can be asked: nothing was sent yet, so
+// it can still be promised that it did not run, and the caller comes back when there may be more.
+func (r *Request) refuseTooFew() {
+	if open, _ := r.open(); open >= r.required() {
+		return
+	}
+	r.actions = nil
+	r.attempts = nil
+	r.anySent = false
+	r.finish(Answer{
+		Reason: NoBackEnd, Total: len(r.shards), Missing: len(r.shards),
+		Failure: r.refusal(failure.NoReplica, r.settings.ComeBack),
+	})
+}
+
 // At gives the request the world as it is now; it is called before each step.
 func (r *Request) At(world World) { r.world = world }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,8 @@
 	// givenUp is closed when all requests under way are to be answered at once.
 	givenUp    chan struct{}
 	giveUpOnce sync.Once
+	// starved is signalled when a request was refused for want of known back ends: the next reading of the store is due soon.
+	starved chan struct{}
 
 	mutex    sync.Mutex
 	replicas *replica.Set
@@ -97,6 +99,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Gateway{
 		settings: settings, backEnds: backEnds, store: store, journal: journal, started: time.Now(), givenUp: make(chan struct{}),
+		starved: make(chan struct{}, 1),
 		replicas: replica.NewSet(settings.Replica, settings.Places, random),
 		budgets:  map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
 		follower: follow.New(settings.Follow, random.Float64), keys: map[string]keyState{}, listedKeys: map[string]bool{},
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,6 +56,12 @@
 	}
 	run := newRun(g, call, route, arrived)
 	answer := run.toEnd(ctx)
+	if answer.Reason == forward.NoBackEnd {
+		select {
+		case g.starved <- struct{}{}:
+		default:
+		}
+	}
 	return Result{
 		Answer: answer, Version: table.Version(), Route: route, Attempts: run.request.Attempts(), Gone: run.gone,
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -29,7 +29,9 @@
 // FromSettings gives the gateway's settings for those of the operator.
 func FromSettings(s settings.Gateway) Settings {
 	return Settings{
-		Forward: forward.Settings{HedgeShare: s.HedgeShare, EarlyFinish: s.EarlyFinish, AnswerMargin: answerMargin},
+		Forward: forward.Settings{
+			HedgeShare: s.HedgeShare, EarlyFinish: s.EarlyFinish, AnswerMargin: answerMargin, ComeBack: s.EntryInterval / 2,
+		},
 		Replica: replica.Settings{
 			Connections: s.Connections, OtherZone: min(otherZoneLatency, s.Locality), OtherRegion: s.Locality,
 			DoubtFor: time.Duration(doubtIntervals * float64(s.EntryInterval)),
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -58,6 +58,8 @@
 	// massShare of the back ends vanishing within one call is taken for trouble of the store, not for back ends leaving.
 	massShare = 3
 	massCount = 4
+	// starvedGather is the shortest time in which changes pile up.
+	starvedGather = 150 * time.Millisecond
 )
 
 // Run follows the store until the context ends.
@@ -70,6 +72,8 @@
 		switch call.Kind {
 		case follow.Pause:
 			pause(ctx, call.For)
+		case follow.Gather:
+			g.gather(ctx, call.For)
 		case follow.List:
 			g.list(ctx, call)
 		case follow.Watch:
@@ -78,6 +82,18 @@
 	}
 }
 
+// gather lets changes pile up, so that they cost one call; it ends early when requests are refused for want of back ends.
+func (g *Gateway) gather(ctx context.Context, length time.Duration) {
+	pause(ctx, min(length, starvedGather))
+	timer := time.NewTimer(length - starvedGather)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-g.starved:
+	}
+}
+
 func pause(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
