--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,7 +99,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Gateway{
 		settings: settings, backEnds: backEnds, store: store, journal: journal, started: time.Now(), givenUp: make(chan struct{}),
-		starved: make(chan struct{}, 1),
+		starved:  make(chan struct{}, 1),
 		replicas: replica.NewSet(settings.Replica, settings.Places, random),
 		budgets:  map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
 		follower: follow.New(settings.Follow, random.Float64), keys: map[string]keyState{}, listedKeys: map[string]bool{},
@@ -167,3 +167,19 @@
 func (w world) SpendRetry(service string) bool {
 	return w.gateway.budget(service).Spend(w.now, 0)
 }
+
+// Version of the configuration in force, 0 without one.
+func (g *Gateway) Version() uint64 {
+	table := g.table.Load()
+	if table == nil {
+		return 0
+	}
+	return table.Version()
+}
+
+// BackEndsKnown is the number of back ends known, those in doubt included.
+func (g *Gateway) BackEndsKnown() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.replicas.Len()
+}
