--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,120 @@
+package decisionlog_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"stiletrail/internal/decisionlog"
+	"stiletrail/internal/failure"
+	"stiletrail/internal/follow"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+)
+
+// stuck blocks every write until it is released.
+type stuck struct{ release chan struct{} }
+
+// Write implements io.Writer.
+func (s stuck) Write(data []byte) (int, error) {
+	<-s.release
+	return len(data), nil
+}
+
+// TestStoppedReaderBlocksNobody: with an output that takes nothing, lines are dropped and counted, and no write waits.
+func TestStoppedReaderBlocksNobody(t *testing.T) {
+	output := stuck{make(chan struct{})}
+	writer := decisionlog.NewWriter(output)
+	line := bytes.Repeat([]byte("x"), 1000)
+	const written = 1000
+	for range written {
+		if _, err := writer.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// At most two buffers of 64 KiB hold what was not dropped.
+	if dropped := writer.Dropped(); dropped < written-140 {
+		t.Errorf("%d of %d lines were dropped: the rest is kept somewhere without a bound", dropped, written)
+	}
+	close(output.release)
+	writer.Close(time.Minute)
+}
+
+// collected is an output that keeps what is written.
+type collected struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (c *collected) Write(data []byte) (int, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.text.Write(data)
+}
+
+func logged(write func(*decisionlog.Log)) []string {
+	output := &collected{}
+	writer := decisionlog.NewWriter(output)
+	write(decisionlog.New(writer, logrus.InfoLevel))
+	writer.Close(time.Minute)
+	return strings.Split(strings.TrimSpace(output.text.String()), "\n")
+}
+
+func result(failed *failure.Failure, missing int, purpose forward.Purpose) *gateway.Result {
+	attempt := &forward.Attempt{
+		Service: "service", Replica: &replica.Replica{Entry: replica.Entry{ID: "back-end"}}, Purpose: purpose,
+		Outcome: forward.Outcome{Kind: forward.Lost, Detail: "reset"},
+	}
+	return &gateway.Result{
+		Answer: forward.Answer{Failure: failed, Missing: missing, Total: 10, Reason: forward.TargetReached},
+		Route:  &routing.Route{Name: "route"}, Version: 7, Attempts: []*forward.Attempt{attempt},
+	}
+}
+
+// TestOrdinarySuccessesAreSampled and all others written with their attempts.
+func TestOrdinarySuccessesAreSampled(t *testing.T) {
+	call := &gateway.Call{ID: "request"}
+	lines := logged(func(log *decisionlog.Log) {
+		for range 100 {
+			log.Request(call, result(nil, 0, forward.First))
+		}
+	})
+	if len(lines) != 5 {
+		t.Errorf("%d lines for 100 ordinary requests", len(lines))
+	}
+	lines = logged(func(log *decisionlog.Log) {
+		log.Request(call, result(nil, 1, forward.First))
+		log.Request(call, result(nil, 0, forward.Hedge))
+		log.Request(call, result(failure.New(failure.OutcomeUnknown, ""), 0, forward.First))
+	})
+	if len(lines) != 3 {
+		t.Fatalf("%d lines for three requests that were partial, hedged and failed", len(lines))
+	}
+	for _, want := range []string{`"request":"request"`, `"route":"route"`, `"version":7`, "back-end", "lost: reset", `"reason":"target_reached"`} {
+		if !strings.Contains(lines[0], want) {
+			t.Errorf("%s does not hold %s", lines[0], want)
+		}
+	}
+}
+
+// TestStoreLostOnce: one line when the store is lost, one when it answers again.
+func TestStoreLostOnce(t *testing.T) {
+	lines := logged(func(log *decisionlog.Log) {
+		for range 5 {
+			log.StoreLost(follow.Unavailable, failure.New(failure.StoreUnavailable, "down"), time.Second)
+		}
+		for range 5 {
+			log.StoreAnswered(time.Second)
+		}
+	})
+	if len(lines) != 2 || !strings.Contains(lines[0], "store_lost") || !strings.Contains(lines[1], "store_regained") {
+		t.Errorf("lines %q", lines)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -106,7 +106,7 @@
 	counted := &countingWriter{Conn: socket}
 	return &connection{
 		socket: socket, counted: counted, reader: bufio.NewReaderSize(socket, readBuffer),
-		writer: bufio.NewWriterSize(counted, writeBuffer), closed: closed,
+		writer: bufio.NewWriterSize(counted, writeBuffer), idleFor: defaultIdle, closed: closed,
 	}
 }
 
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,124 @@
+package follow_test
+
+import (
+	"testing"
+	"time"
+
+	"stiletrail/internal/follow"
+)
+
+var settings = follow.Settings{
+	WatchFor: 2 * time.Second, GatherFor: time.Second, SettleFor: 5 * time.Second,
+	FirstBackoff: 100 * time.Millisecond, LongestBackoff: time.Second,
+}
+
+func half() float64 { return 0.5 }
+
+func listed(t *testing.T) *follow.Core {
+	t.Helper()
+	core := follow.New(settings, half)
+	if call := core.Next(); call.Kind != follow.List || call.After != "" {
+		t.Fatalf("begins with %+v", call)
+	}
+	if !core.Page(0, "k", 7, false) {
+		t.Fatal("one page is not taken for a whole listing")
+	}
+	return core
+}
+
+// TestListThenWatch: pages one after the other, then watches from the revision of the first page.
+func TestListThenWatch(t *testing.T) {
+	core := follow.New(settings, half)
+	core.Next()
+	if core.Page(0, "b", 7, true) {
+		t.Error("a first page with more behind it is no whole listing")
+	}
+	if call := core.Next(); call.Kind != follow.List || call.After != "b" {
+		t.Errorf("goes on with %+v", call)
+	}
+	if !core.Page(0, "d", 9, false) {
+		t.Error("the last page ends the listing")
+	}
+	if call := core.Next(); call.Kind != follow.Watch || call.Revision != 7 || call.For != settings.WatchFor {
+		t.Errorf("goes on with %+v: changes between the pages would be missed", call)
+	}
+}
+
+// TestChangesAreGathered: after changes there is a pause that may be cut short; after silence there is none.
+func TestChangesAreGathered(t *testing.T) {
+	core := listed(t)
+	core.Changes(0, 9, 2)
+	if call := core.Next(); call.Kind != follow.Gather || call.For != settings.GatherFor {
+		t.Errorf("after changes: %+v", call)
+	}
+	if call := core.Next(); call.Kind != follow.Watch || call.Revision != 9 {
+		t.Errorf("then: %+v", call)
+	}
+	core.Changes(0, 9, 0)
+	if call := core.Next(); call.Kind != follow.Watch {
+		t.Errorf("after silence: %+v", call)
+	}
+}
+
+// TestTrouble: what each trouble leads to.
+func TestTrouble(t *testing.T) {
+	t.Run("the history is lost", func(t *testing.T) {
+		core := listed(t)
+		core.Failed(time.Second, follow.HistoryLost)
+		if call := core.Next(); call.Kind != follow.List || call.After != "" {
+			t.Errorf("goes on with %+v", call)
+		}
+	})
+	t.Run("unavailable", func(t *testing.T) {
+		core := listed(t)
+		want := []time.Duration{100, 200, 400, 800, 1000, 1000}
+		for _, milliseconds := range want {
+			core.Failed(time.Second, follow.Unavailable)
+			if call := core.Next(); call.Kind != follow.Pause || call.For != milliseconds*time.Millisecond {
+				t.Errorf("pauses %+v, want %d ms", call, milliseconds)
+			}
+			if call := core.Next(); call.Kind != follow.Watch || call.Revision != 7 {
+				t.Errorf("then %+v", call)
+			}
+		}
+		core.Changes(time.Second, 8, 0)
+		core.Failed(time.Second, follow.Throttled)
+		if call := core.Next(); call.For != settings.FirstBackoff {
+			t.Errorf("the pause does not begin anew after an answer: %+v", call)
+		}
+	})
+	t.Run("within a listing", func(t *testing.T) {
+		core := follow.New(settings, half)
+		core.Next()
+		core.Page(0, "b", 7, true)
+		core.Failed(0, follow.Unavailable)
+		core.Next()
+		if call := core.Next(); call.Kind != follow.List || call.After != "" {
+			t.Errorf("goes on with %+v", call)
+		}
+	})
+}
+
+// TestSettled: only after a time without trouble does a vanished entry prove anything.
+func TestSettled(t *testing.T) {
+	core := listed(t)
+	if !core.Settled(0) {
+		t.Error("unsettled without any trouble")
+	}
+	core.Failed(time.Second, follow.Unavailable)
+	if core.Settled(5 * time.Second) {
+		t.Error("settled 4 s after trouble")
+	}
+	if !core.Settled(6 * time.Second) {
+		t.Error("unsettled 5 s after trouble")
+	}
+}
+
+// TestRevisionNeverGoesBack, whatever a store that was set back says.
+func TestRevisionNeverGoesBack(t *testing.T) {
+	core := listed(t)
+	core.Changes(0, 3, 0)
+	if core.Revision() != 7 {
+		t.Errorf("the revision is %d", core.Revision())
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,440 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/follow"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+	"stiletrail/internal/settings"
+)
+
+// fakeStore is a store in memory. Watches wait on the virtual clock.
+type fakeStore struct {
+	mutex    sync.Mutex
+	items    map[string]gateway.Item
+	history  []gateway.Item
+	revision uint64
+	dropped  uint64
+	err      error
+	// silent watches end only when their time is over.
+	silent  bool
+	changed chan struct{}
+	calls   int
+}
+
+func newStore() *fakeStore {
+	return &fakeStore{items: map[string]gateway.Item{}, changed: make(chan struct{})}
+}
+
+var (
+	errDown        = errors.New("down")
+	errHistoryLost = errors.New("history lost")
+)
+
+// Trouble implements gateway.Store.
+func (s *fakeStore) Trouble(err error) follow.Trouble {
+	if errors.Is(err, errHistoryLost) {
+		return follow.HistoryLost
+	}
+	return follow.Unavailable
+}
+
+func (s *fakeStore) put(item gateway.Item) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	item.Revision = s.revision
+	if item.Gone {
+		delete(s.items, item.Key)
+	} else {
+		s.items[item.Key] = item
+	}
+	s.history = append(s.history, item)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(s)
+}
+
+// List implements gateway.Store.
+func (s *fakeStore) List(context.Context, string) (gateway.Page, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	page := gateway.Page{At: s.revision}
+	for _, item := range s.items {
+		page.Items = append(page.Items, item)
+	}
+	return page, s.err
+}
+
+// Watch implements gateway.Store.
+func (s *fakeStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]gateway.Item, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.set(func(s *fakeStore) { s.calls++ })
+	for {
+		items, at, changed, err := s.since(revision)
+		if err != nil || len(items) > 0 {
+			return items, at, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) since(revision uint64) (items []gateway.Item, at uint64, changed chan struct{}, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.err != nil {
+		return nil, 0, nil, s.err
+	}
+	if s.silent {
+		return nil, 0, make(chan struct{}), nil
+	}
+	if revision < s.dropped {
+		return nil, 0, nil, errHistoryLost
+	}
+	for _, item := range s.history {
+		if item.Revision > revision {
+			items = append(items, item)
+		}
+	}
+	return items, s.revision, s.changed, nil
+}
+
+// fakeBackEnds answers attempts by a function.
+type fakeBackEnds struct {
+	mutex  sync.Mutex
+	sends  []gateway.Send
+	answer func(ctx context.Context, send gateway.Send) forward.Outcome
+}
+
+// Prune implements gateway.BackEnds.
+func (b *fakeBackEnds) Prune(func(string) bool) {}
+
+// Exchange implements gateway.BackEnds.
+func (b *fakeBackEnds) Exchange(ctx context.Context, send gateway.Send) forward.Outcome {
+	b.mutex.Lock()
+	b.sends = append(b.sends, send)
+	b.mutex.Unlock()
+	return b.answer(ctx, send)
+}
+
+func (b *fakeBackEnds) count() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.sends)
+}
+
+// silentJournal takes no note.
+type silentJournal struct{}
+
+func (silentJournal) Request(*gateway.Call, *gateway.Result)                    {}
+func (silentJournal) Ejected(*forward.Attempt, forward.Outcome)                 {}
+func (silentJournal) Configuration(*routing.Table, uint64)                      {}
+func (silentJournal) Rejected(*gateway.Item)                                    {}
+func (silentJournal) BackEnd(replica.Entry, uint64)                             {}
+func (silentJournal) Vanished(string, bool)                                     {}
+func (silentJournal) Listed(int, uint64)                                        {}
+func (silentJournal) StoreLost(follow.Trouble, *failure.Failure, time.Duration) {}
+func (silentJournal) StoreAnswered(time.Duration)                               {}
+
+const shards = 4
+
+func configuration(version uint64) gateway.Item {
+	var names []string
+	for i := range shards {
+		names = append(names, fmt.Sprint("s", i))
+	}
+	return gateway.Item{Key: "configuration", Configuration: &routing.Configuration{Version: version, Routes: []routing.Route{
+		{Name: "all", Host: "h", Prefix: "/all/", Repeatable: true, Timeout: 4 * time.Second, TargetLatency: 250 * time.Millisecond,
+			MaximumAttempts: 2, Shards: names, MinimumCoverage: 0.75, Top: 5},
+		{Name: "one", Host: "h", Prefix: "/one/", Repeatable: true, Timeout: 4 * time.Second, TargetLatency: time.Second,
+			MaximumAttempts: 2, Targets: []routing.Target{{Service: "s0", Weight: 1}}},
+	}}}
+}
+
+func backEnd(service, suffix, zone string) gateway.Item {
+	id := service + suffix
+	return gateway.Item{Key: "back ends/" + id, BackEnd: &replica.Entry{ID: id, Service: service, Address: "127.0.0.1:1", Zone: zone}}
+}
+
+// scene is a gateway with its surroundings on a virtual clock.
+type scene struct {
+	store    *fakeStore
+	backEnds *fakeBackEnds
+	gateway  *gateway.Gateway
+}
+
+// play runs a test on a virtual clock, against a gateway that knows two replicas of each shard, one in its own zone.
+func play(t *testing.T, test func(t *testing.T, s *scene)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scene{store: newStore(), backEnds: &fakeBackEnds{answer: after(20 * time.Millisecond)}}
+		s.store.put(configuration(1))
+		for i := range shards {
+			s.store.put(backEnd(fmt.Sprint("s", i), "-near", "zone"))
+			s.store.put(backEnd(fmt.Sprint("s", i), "-far", "other"))
+		}
+		loaded := settings.DefaultGateway()
+		loaded.Zone = "zone"
+		loaded.Regions = map[string]string{"zone": "a", "other": "b"}
+		s.gateway = gateway.New(gateway.FromSettings(loaded), s.backEnds, s.store, silentJournal{})
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.gateway.Run(ctx)
+		synctest.Wait()
+		test(t, s)
+		cancel()
+		// Attempts that were withdrawn end a little later.
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
+
+func part(send gateway.Send) forward.Outcome {
+	return forward.Outcome{Kind: forward.Answered, Response: &forward.Response{Status: 200, Signature: send.Entry.ID}}
+}
+
+// after answers each attempt after some time.
+func after(length time.Duration) func(context.Context, gateway.Send) forward.Outcome {
+	return func(ctx context.Context, send gateway.Send) forward.Outcome {
+		select {
+		case <-time.After(length):
+			return part(send)
+		case <-ctx.Done():
+			return forward.Outcome{Kind: forward.Lost}
+		}
+	}
+}
+
+// except answers attempts at some back ends by another function.
+func except(answer func(context.Context, gateway.Send) forward.Outcome, ids ...string) func(context.Context, gateway.Send) forward.Outcome {
+	others := after(20 * time.Millisecond)
+	return func(ctx context.Context, send gateway.Send) forward.Outcome {
+		for _, id := range ids {
+			if send.Entry.ID == id {
+				return answer(ctx, send)
+			}
+		}
+		return others(ctx, send)
+	}
+}
+
+func (s *scene) search() gateway.Result {
+	return s.gateway.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/all/x"})
+}
+
+// TestSilentWatch: a change that no watch tells of, in a history that is dropped, is in force within three seconds.
+func TestSilentWatch(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		time.Sleep(20 * time.Second)
+		s.store.set(func(s *fakeStore) { s.silent = true })
+		time.Sleep(100 * time.Millisecond)
+		s.store.put(configuration(2))
+		s.store.set(func(s *fakeStore) { s.dropped, s.history = s.revision, nil })
+		time.Sleep(500 * time.Millisecond)
+		s.store.set(func(s *fakeStore) { s.silent = false })
+		time.Sleep(2500 * time.Millisecond)
+		if version := s.gateway.Version(); version != 2 {
+			t.Errorf("version %d is in force after 3 s", version)
+		}
+	})
+}
+
+// TestStoreDownForHours: what is known stays in force, and changes are taken soon after the store is back.
+func TestStoreDownForHours(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		s.store.set(func(s *fakeStore) { s.err = errDown })
+		time.Sleep(5 * time.Hour)
+		if result := s.search(); result.Failure != nil || result.Missing != 0 {
+			t.Errorf("answered %+v", result.Answer)
+		}
+		s.store.set(func(s *fakeStore) { s.err = nil })
+		s.store.put(configuration(2))
+		time.Sleep(2 * time.Second)
+		if version := s.gateway.Version(); version != 2 {
+			t.Errorf("version %d is in force 2 s after the store is back", version)
+		}
+	})
+}
+
+// TestFewCalls: a quiet hour costs no more than one call in two seconds and a half.
+func TestFewCalls(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		time.Sleep(time.Hour)
+		if most := int(time.Hour/(2500*time.Millisecond)) + 10; s.store.calls > most {
+			t.Errorf("%d calls in an hour, at most %d were expected", s.store.calls, most)
+		}
+	})
+}
+
+// TestLapsedEntries: entries that vanish in an outage and come back soon after cost no request; those that stay away are
+// forgotten before a drain would be over.
+func TestLapsedEntries(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		time.Sleep(10 * time.Second)
+		s.store.set(func(s *fakeStore) { s.err = errDown })
+		time.Sleep(4 * time.Second)
+		for i := range shards {
+			gone := backEnd(fmt.Sprint("s", i), "-near", "zone")
+			s.store.put(gateway.Item{Key: gone.Key, Gone: true})
+			gone = backEnd(fmt.Sprint("s", i), "-far", "other")
+			s.store.put(gateway.Item{Key: gone.Key, Gone: true})
+		}
+		s.store.set(func(s *fakeStore) { s.err = nil })
+		time.Sleep(1200 * time.Millisecond)
+		if result := s.search(); result.Failure != nil {
+			t.Errorf("1.2 s after the outage: %v", result.Failure)
+		}
+		s.store.put(backEnd("s0", "-near", "zone"))
+		time.Sleep(2800 * time.Millisecond)
+		if known := s.gateway.BackEndsKnown(); known != 1 {
+			t.Errorf("%d back ends are known 4 s after the outage, one came back", known)
+		}
+	})
+}
+
+// TestDrainIsFast: a back end whose entry goes while the store is well gets no request a second later.
+func TestDrainIsFast(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		time.Sleep(10 * time.Second)
+		s.store.put(gateway.Item{Key: "back ends/s0-near", Gone: true})
+		time.Sleep(time.Second)
+		s.search()
+		for _, send := range s.backEnds.sends {
+			if send.Entry.ID == "s0-near" {
+				t.Error("the back end that left was asked")
+			}
+		}
+	})
+}
+
+// TestPausedReplica: an answer comes within its target though a replica is silent, once there is a budget for hedges.
+func TestPausedReplica(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		for range 20 {
+			s.search()
+		}
+		s.backEnds.answer = except(after(time.Hour), "s1-near")
+		result := s.search()
+		if result.Missing != 0 || result.Elapsed > 100*time.Millisecond {
+			t.Errorf("answered with %d missing after %v", result.Missing, result.Elapsed)
+		}
+	})
+}
+
+// TestShardLost: with all replicas of a shard silent, the answer comes at the target without that shard, and says so.
+func TestShardLost(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		s.backEnds.answer = except(after(time.Hour), "s1-near", "s1-far")
+		result := s.search()
+		if result.Failure != nil || result.Missing != 1 || result.Elapsed > 250*time.Millisecond {
+			t.Errorf("answered with %d missing after %v: %v", result.Missing, result.Elapsed, result.Failure)
+		}
+	})
+}
+
+// TestTimeoutComesFromATimer: with every back end silent, the final answer comes at the route's timeout.
+func TestTimeoutComesFromATimer(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		s.backEnds.answer = after(time.Hour)
+		result := s.search()
+		if result.Failure == nil || result.Failure.NotRun || result.Elapsed < 3900*time.Millisecond || result.Elapsed > 4100*time.Millisecond {
+			t.Errorf("answered %v after %v", result.Failure, result.Elapsed)
+		}
+	})
+}
+
+// TestReloadKeepsWhatIsUnderWay: a request keeps the table it began with.
+func TestReloadKeepsWhatIsUnderWay(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		s.backEnds.answer = after(2 * time.Second)
+		results := make(chan gateway.Result, 1)
+		go func() { results <- s.search() }()
+		time.Sleep(100 * time.Millisecond)
+		s.store.put(gateway.Item{Key: "configuration", Configuration: &routing.Configuration{Version: 5}})
+		time.Sleep(time.Second)
+		if result := s.search(); result.Failure == nil || result.Failure.Code != failure.UnknownService {
+			t.Errorf("the new table is not in force: %+v", result.Answer)
+		}
+		if result := <-results; result.Failure != nil || result.Version != 1 {
+			t.Errorf("what was under way ended with %+v", result.Answer)
+		}
+	})
+}
+
+// TestGiveUp: at the end of a planned stop each request under way is answered at once.
+func TestGiveUp(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		s.backEnds.answer = after(time.Hour)
+		results := make(chan gateway.Result, 1)
+		go func() { results <- s.search() }()
+		time.Sleep(time.Second)
+		s.gateway.Leave()
+		s.gateway.GiveUp()
+		if result := <-results; result.Failure == nil || result.Failure.NotRun || result.Reason != forward.GivenUp {
+			t.Errorf("answered %+v", result.Answer)
+		}
+		if s.gateway.Ready() {
+			t.Error("ready while it leaves")
+		}
+	})
+}
+
+// TestLosersAreWithdrawn: attempts of no more use end soon after the answer, and at once when the caller leaves.
+func TestLosersAreWithdrawn(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		var ended time.Duration
+		began := time.Now()
+		s.backEnds.answer = except(func(ctx context.Context, _ gateway.Send) forward.Outcome {
+			<-ctx.Done()
+			ended = time.Since(began)
+			return forward.Outcome{Kind: forward.Lost}
+		}, "s1-near", "s1-far")
+		result := s.search()
+		time.Sleep(time.Second)
+		if ended > result.Elapsed+200*time.Millisecond {
+			t.Errorf("answered after %v, withdrawn after %v", result.Elapsed, ended)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.gateway.Serve(ctx, &gateway.Call{ID: "id", Host: "h", Path: "/all/x"})
+		time.Sleep(30 * time.Millisecond)
+		began = time.Now()
+		cancel()
+		time.Sleep(time.Second)
+		if ended > 10*time.Millisecond {
+			t.Errorf("withdrawn %v after the caller left", ended)
+		}
+	})
+}
+
+// TestNotReady: without a configuration a request is refused as not run, not as unknown.
+func TestNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		g := gateway.New(gateway.FromSettings(settings.DefaultGateway()), &fakeBackEnds{}, store, silentJournal{})
+		result := g.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/all/x"})
+		if result.Failure == nil || !result.Failure.NotRun || result.Failure.RetryAfter == 0 || g.Ready() {
+			t.Errorf("answered %+v, ready %v", result.Failure, g.Ready())
+		}
+	})
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -70,7 +70,7 @@
 	if r.Ejected(now) {
 		return rankEjected
 	}
-	if r.goneAt != 0 {
+	if r.doubtful {
 		return rankDoubtful
 	}
 	return rankGood
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -36,9 +36,9 @@
 	// failures in a row, and until when the replica is only picked as a last choice.
 	failures     int
 	ejectedUntil time.Duration
-	// goneAt is when the entry vanished, zero while it is there. Doubtful: it vanished while the store was unsettled.
-	goneAt   time.Duration
+	// doubtful: the entry vanished while the store was unsettled, at goneAt.
 	doubtful bool
+	goneAt   time.Duration
 	// misdirected: the address answers for another back end.
 	misdirected bool
 }
@@ -98,9 +98,9 @@
 func (s *Set) Put(now time.Duration, entry Entry) bool {
 	known := s.byID[entry.ID]
 	if known != nil && known.Service == entry.Service {
-		changed := known.Draining != entry.Draining || known.Address != entry.Address || known.goneAt != 0
+		changed := known.Draining != entry.Draining || known.Address != entry.Address || known.doubtful
 		known.Entry = entry
-		known.goneAt, known.doubtful = 0, false
+		known.doubtful = false
 		known.coldUntil = now + entry.ColdFor
 		return changed
 	}
@@ -124,9 +124,10 @@
 		s.forget(known)
 		return true
 	}
-	if known.goneAt == 0 {
-		known.goneAt, known.doubtful = now, true
+	if known.doubtful {
+		return false
 	}
+	known.doubtful, known.goneAt = true, now
 	return true
 }
 
@@ -134,7 +135,7 @@
 func (s *Set) Expire(now time.Duration) []string {
 	var expired []string
 	for id, known := range s.byID {
-		if known.goneAt != 0 && now >= known.goneAt+s.settings.DoubtFor {
+		if known.doubtful && now >= known.goneAt+s.settings.DoubtFor {
 			expired = append(expired, id)
 			s.forget(known)
 		}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,191 @@
+package replica_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"stiletrail/internal/replica"
+)
+
+const millisecond = time.Millisecond
+
+var settings = replica.Settings{
+	Connections: 4, OtherZone: 10 * millisecond, OtherRegion: 80 * millisecond, DoubtFor: 2 * time.Second,
+}
+
+func newSet(entries ...replica.Entry) *replica.Set {
+	places := replica.Places{Zone: "a1", Regions: map[string]string{"a1": "a", "a2": "a", "b1": "b"}}
+	set := replica.NewSet(settings, places, rand.New(rand.NewPCG(1, 2)))
+	for _, entry := range entries {
+		set.Put(0, entry)
+	}
+	return set
+}
+
+func entry(id, zone string) replica.Entry {
+	return replica.Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: zone, Slots: 5}
+}
+
+func picked(set *replica.Set, now time.Duration, excluded ...*replica.Replica) string {
+	chosen, _ := set.Pick(now, "s", excluded)
+	if chosen == nil {
+		return ""
+	}
+	return chosen.ID
+}
+
+// run lets an attempt at a replica end with a verdict after some time, and returns the time.
+func run(set *replica.Set, now time.Duration, id string, length time.Duration, verdict replica.Verdict) time.Duration {
+	chosen := set.Get(id)
+	chosen.Start(now)
+	chosen.Finish(now+length, now, verdict)
+	return now + length
+}
+
+// TestLocality: the own zone first, then the own region, then others.
+func TestLocality(t *testing.T) {
+	set := newSet(entry("far", "b1"), entry("near", "a2"), entry("own", "a1"))
+	if got := picked(set, 0); got != "own" {
+		t.Errorf("picked %q", got)
+	}
+	if got := picked(set, 0, set.Get("own")); got != "near" {
+		t.Errorf("picked %q", got)
+	}
+}
+
+// TestSlowReplicaIsLeftAndTriedAgain: a local replica that has turned slow loses to a remote one, and gets a trickle later.
+func TestSlowReplicaIsLeftAndTriedAgain(t *testing.T) {
+	set := newSet(entry("own", "a1"), entry("far", "b1"))
+	now := run(set, 0, "own", 400*millisecond, replica.Answered)
+	now = run(set, now, "far", 50*millisecond, replica.Answered)
+	if got := picked(set, now); got != "far" {
+		t.Errorf("picked %q", got)
+	}
+	if got := picked(set, now+10*time.Second); got != "own" {
+		t.Errorf("picked %q after ten seconds", got)
+	}
+}
+
+// TestSilentReplicaIsLeftWhileItIsSilent: the age of an attempt without an answer counts before it ends.
+func TestSilentReplicaIsLeftWhileItIsSilent(t *testing.T) {
+	set := newSet(entry("own", "a1"), entry("far", "b1"))
+	now := run(set, 0, "own", 20*millisecond, replica.Answered)
+	now = run(set, now, "far", 45*millisecond, replica.Answered)
+	set.Get("own").Start(now)
+	if got := picked(set, now+20*millisecond); got != "own" {
+		t.Errorf("picked %q", got)
+	}
+	if got := picked(set, now+200*millisecond); got != "far" {
+		t.Errorf("picked %q after 200 ms of silence", got)
+	}
+}
+
+// TestNeverPicked: draining and misdirected replicas are not picked, whatever else there is.
+func TestNeverPicked(t *testing.T) {
+	draining := entry("draining", "a1")
+	draining.Draining = true
+	set := newSet(draining, entry("misdirected", "a1"))
+	run(set, 0, "misdirected", millisecond, replica.Misdirected)
+	if got := picked(set, 0); got != "" {
+		t.Errorf("picked %q", got)
+	}
+}
+
+// TestEjection: failures take a replica out for a while that grows, but the last one left is picked all the same.
+func TestEjection(t *testing.T) {
+	set := newSet(entry("own", "a1"), entry("far", "b1"))
+	now := run(set, 0, "own", millisecond, replica.Failed)
+	if got := picked(set, now); got != "own" {
+		t.Errorf("one failure: picked %q", got)
+	}
+	now = run(set, now, "own", millisecond, replica.Failed)
+	if got := picked(set, now); got != "far" {
+		t.Errorf("two failures: picked %q", got)
+	}
+	if got := picked(set, now, set.Get("far")); got != "own" {
+		t.Errorf("the last one left: picked %q", got)
+	}
+	if got := picked(set, now+300*millisecond); got != "own" {
+		t.Errorf("after the ejection: picked %q", got)
+	}
+	now = run(set, now, "own", millisecond, replica.Unreachable)
+	if got := picked(set, now+300*millisecond); got != "far" {
+		t.Errorf("a longer ejection: picked %q", got)
+	}
+	now = run(set, now, "own", millisecond, replica.Answered)
+	if got := picked(set, now); got != "own" {
+		t.Errorf("after an answer: picked %q", got)
+	}
+}
+
+// TestConnections: no more attempts at once than connections; busy is told from nothing there.
+func TestConnections(t *testing.T) {
+	set := newSet(entry("own", "a1"))
+	for range settings.Connections {
+		set.Get("own").Start(0)
+	}
+	if chosen, busy := set.Pick(0, "s", nil); chosen != nil || !busy {
+		t.Errorf("picked %v, busy %v", chosen, busy)
+	}
+	if chosen, busy := set.Pick(0, "unknown", nil); chosen != nil || busy {
+		t.Errorf("picked %v, busy %v for an unknown service", chosen, busy)
+	}
+}
+
+// TestVanished: with a settled store a vanished entry is gone at once; else it is a second choice for a while.
+func TestVanished(t *testing.T) {
+	set := newSet(entry("own", "a1"), entry("far", "b1"))
+	set.Remove(0, "far", true)
+	if set.Len() != 1 {
+		t.Fatal("still there")
+	}
+	set.Put(0, entry("far", "b1"))
+	set.Remove(0, "own", false)
+	if got := picked(set, 0); got != "far" {
+		t.Errorf("picked %q with another that is certain", got)
+	}
+	if got := picked(set, 0, set.Get("far")); got != "own" {
+		t.Errorf("picked %q where there is only the doubtful one", got)
+	}
+	set.Put(time.Second, entry("own", "a1"))
+	if expired := set.Expire(3 * time.Second); len(expired) != 0 || picked(set, time.Second) != "own" {
+		t.Errorf("came back, expired %v, picked %q", expired, picked(set, time.Second))
+	}
+	set.Remove(4*time.Second, "own", false)
+	if expired := set.Expire(6 * time.Second); len(expired) != 1 || set.Get("own") != nil {
+		t.Errorf("expired %v", expired)
+	}
+}
+
+// TestSpread: replicas that are about as good share the load.
+func TestSpread(t *testing.T) {
+	set := newSet()
+	for i := range 4 {
+		set.Put(0, entry(fmt.Sprint(i), "a1"))
+	}
+	counts := map[string]int{}
+	now := time.Duration(0)
+	for range 400 {
+		id := picked(set, now)
+		counts[id]++
+		now = run(set, now, id, 20*millisecond, replica.Answered)
+	}
+	for id, count := range counts {
+		if count < 40 {
+			t.Errorf("replica %s got %d of 400", id, count)
+		}
+	}
+}
+
+// TestNewService: an id that comes back with another service is another back end.
+func TestNewService(t *testing.T) {
+	set := newSet(entry("x", "a1"))
+	moved := entry("x", "a1")
+	moved.Service = "other"
+	set.Put(0, moved)
+	if picked(set, 0) != "" || set.Len() != 1 {
+		t.Errorf("picked %q, %d known", picked(set, 0), set.Len())
+	}
+}
--- /dev/null
+++ b/internal/serving/serving_test.go
@@ -0,0 +1,99 @@
+package serving_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"stiletrail/internal/routing"
+	"stiletrail/internal/serving"
+)
+
+// fakeNode has one request under way until it is released or given up.
+type fakeNode struct {
+	leaving  atomic.Bool
+	gaveUp   atomic.Bool
+	underWay atomic.Int64
+}
+
+func (n *fakeNode) Ready() bool                    { return !n.leaving.Load() }
+func (n *fakeNode) Leave()                         { n.leaving.Store(true) }
+func (n *fakeNode) GiveUp()                        { n.gaveUp.Store(true) }
+func (n *fakeNode) UnderWay() int64                { return n.underWay.Load() }
+func (n *fakeNode) Limits() (routing.Limits, bool) { return routing.Limits{}, false }
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func start(t *testing.T, node *fakeNode) (*serving.Server, serving.Addresses) {
+	t.Helper()
+	addresses := serving.Addresses{Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t)}
+	hello := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) })
+	server, err := serving.Start(node, addresses, hello, hello)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return server, addresses
+}
+
+func status(t *testing.T, address string) int {
+	t.Helper()
+	response, err := http.Get("http://" + address + "/ready")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestPlannedStop: the node is not ready at once, serves on, and ends without cutting anything short.
+func TestPlannedStop(t *testing.T) {
+	node := &fakeNode{}
+	server, addresses := start(t, node)
+	if got := status(t, addresses.Ready); got != 200 {
+		t.Errorf("ready answers %d", got)
+	}
+	stopped := make(chan bool)
+	go func() { stopped <- server.Stop(time.Minute) }()
+	for !node.leaving.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if got := status(t, addresses.Ready); got != 503 {
+		t.Errorf("ready answers %d while it stops", got)
+	}
+	if got := status(t, addresses.Callers); got != 200 {
+		t.Errorf("callers get %d while it stops", got)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	if !<-stopped {
+		t.Error("something was cut short")
+	}
+}
+
+// TestStopEndsInTime: what is still under way at the end is given up, and the stop says so.
+func TestStopEndsInTime(t *testing.T) {
+	node := &fakeNode{}
+	node.underWay.Store(1)
+	server, _ := start(t, node)
+	if server.Stop(time.Second) || !node.gaveUp.Load() {
+		t.Error("a request under way was not given up")
+	}
+}
+
+// TestAddressTaken: a listener that cannot be had is a failure at the start.
+func TestAddressTaken(t *testing.T) {
+	node := &fakeNode{}
+	_, addresses := start(t, node)
+	if _, err := serving.Start(node, addresses, http.NotFoundHandler(), http.NotFoundHandler()); err == nil {
+		t.Error("started twice at the same addresses")
+	}
+}
