--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -140,11 +140,6 @@
 	return b.answer(ctx, send)
 }
 
-func (b *fakeBackEnds) count() int {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return len(b.sends)
-}
 
 // silentJournal takes no note.
 type silentJournal struct{}
