--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -8,8 +8,10 @@
 	waitForRoom = 4 * time.Millisecond
 	// hedgeAgain is the pause before a hedge is tried again that found no replica or budget.
 	hedgeAgain = 20 * time.Millisecond
-	// hedgeLatencies is the number of expected latencies a hedge waits at least.
-	hedgeLatencies = 2
+	// siblingFactor and siblingSlack: a shard is late once it takes longer than so many times its siblings and the slack,
+	// beyond the time that any answer of its replica takes.
+	siblingFactor = 2
+	siblingSlack  = 12 * time.Millisecond
 	// UnsentTries bounds how often a shard looks for another replica after attempts of which no byte was written.
 	UnsentTries = 3
 )
@@ -31,17 +33,34 @@
 	s.sent++
 	s.live++
 	r.anySent = true
-	s.hedgeAt = now + r.hedgeDelay(now, attempt)
+	s.hedgeAt = now + r.hedgeDelay()
 	r.actions = append(r.actions, Action{Send: attempt})
 	return true
 }
 
-// hedgeDelay is a share of the target latency, but no less than twice what the replica is expected to take, up to half of the
-// target: a hedge that is sent while the answer is on its way only adds load.
-func (r *Request) hedgeDelay(now time.Duration, attempt *Attempt) time.Duration {
-	delay := time.Duration(r.settings.HedgeShare * float64(r.route.TargetLatency))
-	expected := hedgeLatencies * attempt.Replica.Latency()
-	return max(delay, min(expected, r.route.TargetLatency/2))
+// hedgeDelay is a share of the target latency. That is the latest moment at which a hedge still saves the answer; a shard whose
+// siblings have answered is hedged earlier.
+func (r *Request) hedgeDelay() time.Duration {
+	return time.Duration(r.settings.HedgeShare * float64(r.route.TargetLatency))
+}
+
+// noteAnswer learns from a shard's answer how long this request takes. All shards work on the same request, so what it takes at
+// one tells what it takes at the others: once half of the shards have answered, those that take much longer are held up by
+// their replicas, and are hedged; before that a long wait says that the request is a long one, which a hedge would not
+// shorten.
+func (r *Request) noteAnswer(now time.Duration, attempt *Attempt) {
+	if !r.route.FansOut() || r.answered*2 < len(r.shards) {
+		return
+	}
+	if r.siblings == 0 {
+		r.siblings = max(now-attempt.StartedAt-attempt.Replica.Floor(), 0)
+	}
+	late := siblingFactor*r.siblings + siblingSlack
+	for _, open := range r.attempts {
+		if s := &r.shards[open.Shard]; open.live && s.live == 1 {
+			s.hedgeAt = min(s.hedgeAt, max(now, open.StartedAt+open.Replica.Floor()+late))
+		}
+	}
 }
 
 // mayHedge: one attempt is under way and the route allows another.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -25,7 +25,7 @@
 
 // Settings of how requests are served.
 type Settings struct {
-	// HedgeShare of the target latency is waited for an answer before another replica is asked too; 0 turns hedging off.
+	// HedgeShare of the target latency is waited at most for an answer before another replica is asked too; 0 turns hedging off.
 	HedgeShare float64
 	// EarlyFinish answers at the target latency with what is there, where that is enough.
 	EarlyFinish bool
@@ -151,15 +151,17 @@
 
 // Request is one request under way.
 type Request struct {
-	world      World
-	settings   Settings
-	route      *routing.Route
-	startedAt  time.Duration
-	deadline   time.Duration
-	target     time.Duration
-	shards     []shard
-	attempts   []*Attempt
-	answered   int
+	world     World
+	settings  Settings
+	route     *routing.Route
+	startedAt time.Duration
+	deadline  time.Duration
+	target    time.Duration
+	shards    []shard
+	attempts  []*Attempt
+	answered  int
+	// siblings is how long the request took at the shards that answered first, beyond their replicas' floors; 0 while unknown.
+	siblings   time.Duration
 	mayHaveRun bool
 	anySent    bool
 	retryAfter time.Duration
@@ -247,6 +249,7 @@
 		s.response = outcome.Response
 		r.answered++
 		r.cancelShard(attempt.Shard)
+		r.noteAnswer(now, attempt)
 	default:
 		s.last = outcome
 		r.tryAgain(now, attempt.Shard)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -140,7 +140,6 @@
 	return b.answer(ctx, send)
 }
 
-
 // silentJournal takes no note.
 type silentJournal struct{}
 
--- a/internal/replica/outcome.go
+++ b/internal/replica/outcome.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// floorGain is the weight of a sample above the floor.
+const floorGain = 0.01
+
 // How failures take a replica out.
 const (
 	// failuresToEject in a row take a replica out; a failed connection does so at once.
@@ -49,6 +52,7 @@
 	case Answered:
 		r.failures = 0
 		r.ejectedUntil = 0
+		r.lowerFloor(elapsed)
 		r.sample(now, elapsed)
 	case Abandoned:
 		r.abandoned(now, elapsed)
@@ -85,6 +89,15 @@
 	r.sampledAt = now
 }
 
+// lowerFloor follows the least latencies down at once and up slowly.
+func (r *Replica) lowerFloor(elapsed time.Duration) {
+	if r.floor == 0 || elapsed < r.floor {
+		r.floor = elapsed
+		return
+	}
+	r.floor += time.Duration(floorGain * float64(elapsed-r.floor))
+}
+
 func (r *Replica) eject(now time.Duration) bool {
 	length := firstEjection
 	for i := failuresToEject; i < r.failures && length < longestEjection; i++ {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -29,8 +29,9 @@
 	Entry
 	// inFlight has the start of each attempt under way, oldest first.
 	inFlight []time.Duration
-	// latency is a moving average; sampledAt is when it was last brought up to date.
+	// latency is a moving average, floor the least it takes of late; sampledAt is when they were last brought up to date.
 	latency   time.Duration
+	floor     time.Duration
 	sampledAt time.Duration
 	coldUntil time.Duration
 	// failures in a row, and until when the replica is only picked as a last choice.
@@ -49,6 +50,9 @@
 // Latency is the average the choice goes by.
 func (r *Replica) Latency() time.Duration { return r.latency }
 
+// Floor is the least that an answer of the replica takes: the way there and back.
+func (r *Replica) Floor() time.Duration { return r.floor }
+
 // Ejected reports whether the replica is a last choice at the moment.
 func (r *Replica) Ejected(now time.Duration) bool { return now < r.ejectedUntil }
 
