--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -143,6 +143,11 @@
 		if attempt.Outcome.Detail != "" {
 			line.WriteString(": " + attempt.Outcome.Detail)
 		}
+		if result.Denied != nil && attempt.Outcome.Kind != forward.Answered {
+			if denied := result.Denied(attempt); denied != "" {
+				line.WriteString(", extra attempt denied: " + string(denied))
+			}
+		}
 		lines = append(lines, line.String())
 	}
 	return lines
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -72,11 +72,18 @@
 func (r *Request) hedge(now time.Duration, number int) {
 	s := &r.shards[number]
 	s.hedgeAt = now + hedgeAgain
-	chosen, _ := r.world.Pick(s.service, s.tried)
-	if chosen == nil || !r.world.SpendHedge(s.service) {
-		return
+	chosen, busy := r.world.Pick(s.service, s.tried)
+	switch {
+	case busy:
+		s.denied = DeniedBusy
+	case chosen == nil:
+		s.denied = DeniedNoReplica
+	case !r.world.SpendHedge(s.service):
+		s.denied = DeniedBudget
+	default:
+		s.denied = ""
+		r.try(now, number, Hedge)
 	}
-	r.try(now, number, Hedge)
 }
 
 // tryAgain decides what becomes of a shard whose attempt failed: another attempt under way may still answer it, another
@@ -105,7 +112,11 @@
 	if kind == NotSent {
 		return len(s.tried) <= UnsentTries
 	}
-	return r.world.SpendRetry(s.service)
+	if !r.world.SpendRetry(s.service) {
+		s.denied = DeniedBudget
+		return false
+	}
+	return true
 }
 
 func (r *Request) cancelShard(number int) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -117,6 +117,19 @@
 	Retry Purpose = "retry"
 )
 
+// Denied says why an extra attempt that was due was not sent.
+type Denied string
+
+// The reasons.
+const (
+	DeniedBudget    Denied = "no_budget"
+	DeniedBusy      Denied = "replicas_busy"
+	DeniedNoReplica Denied = "no_other_replica"
+)
+
+// Denied returns why the last extra attempt that was due for an attempt's shard was not sent, empty if none was.
+func (r *Request) Denied(attempt *Attempt) Denied { return r.shards[attempt.Shard].denied }
+
 // Action is something the driver must do. One field is set.
 type Action struct {
 	Send *Attempt
@@ -145,6 +158,8 @@
 	sent    int
 	live    int
 	hedgeAt time.Duration
+	// denied is why the last extra attempt that was due was not sent.
+	denied Denied
 	// waiting: no replica has room.
 	waiting bool
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -20,6 +20,8 @@
 	Attempts []*forward.Attempt
 	Arrived  time.Duration
 	Elapsed  time.Duration
+	// Denied says, for the shard of an attempt, why an extra attempt that was due was not sent.
+	Denied func(*forward.Attempt) forward.Denied
 	// Gone: the caller left; there is nobody to answer.
 	Gone bool
 }
@@ -63,7 +65,7 @@
 		}
 	}
 	return Result{
-		Answer: answer, Version: table.Version(), Route: route, Attempts: run.request.Attempts(), Gone: run.gone,
+		Answer: answer, Version: table.Version(), Route: route, Attempts: run.request.Attempts(), Denied: run.request.Denied, Gone: run.gone,
 	}
 }
 
