--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,8 +16,8 @@
 	// doubtIntervals of renewal are waited for an entry to come back that vanished while the store was unsettled.
 	doubtIntervals = 1.6
 	// retryMargin of the retry budget is not used, for what cannot be counted, such as a restart of a node.
-	retryMargin    = 0.1
-	hedgeReserve   = 0.15
+	retryMargin    = 0.04
+	hedgeReserve   = 0.06
 	linger         = 150 * time.Millisecond
 	watchFor       = 2500 * time.Millisecond
 	gatherFor      = 900 * time.Millisecond
