--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,7 +41,7 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		LogLevel: "info", StopWithin: 6 * time.Second, EntryInterval: 1200 * time.Millisecond, RetryShare: 0.2,
-		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.45, EarlyFinish: true, Locality: 80 * time.Millisecond,
+		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.45, EarlyFinish: true, Locality: 130 * time.Millisecond,
 		MaximumRequests: 2000,
 	}
 }
