Nodes know each other and tell each other what they know of the store

Cause: a node whom the store refuses, or that restarts while nobody reaches the store, had no configuration; the number of nodes was unknown, so the connections of a back end, the slack of the retry budget and the calls to the store could not be shared out. internal/spread keeps a copy of the store by revisions; membership and transport are those of the product, over the control address.

TestSilentWatchesOfAll found that the watches of all nodes end in step after a change and then miss the same one: they wait for a random time now.

--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -18,8 +19,10 @@
 	"stiletrail/internal/exchange"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/gateway"
+	"stiletrail/internal/membership"
 	"stiletrail/internal/serving"
 	"stiletrail/internal/settings"
+	"stiletrail/internal/transport"
 	"stiletrail/platform"
 )
 
@@ -70,6 +73,12 @@
 		log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": err.Error()})
 		return exitFailed
 	}
+	closePeers, err := join(node, loaded)
+	if err != nil {
+		log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": err.Error()})
+		return exitFailed
+	}
+	defer closePeers()
 	log.Lifecycle(decisionlog.EventStart, map[string]any{"settings": loaded})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -77,6 +86,24 @@
 	return wait(file, loaded, server, log)
 }
 
+// join listens for other nodes and makes the node a member, where the settings name an address for that.
+func join(node *gateway.Gateway, loaded settings.Gateway) (closePeers func(), err error) {
+	if loaded.PeerAddress == "" {
+		return func() {}, nil
+	}
+	peers, err := transport.ListenWith(loaded.PeerAddress, loaded.PeerAddress, transport.ControlSizes)
+	if err != nil {
+		return nil, err
+	}
+	self := membership.Member{
+		Address: loaded.PeerAddress, Zone: loaded.Zone, Region: loaded.Regions[loaded.Zone], Generation: rand.Uint64(),
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	node.Join(self, loaded.Seeds, peers)
+	peers.Serve(node)
+	return peers.Close, nil
+}
+
 // wait handles signals until the node stops.
 func wait(file string, loaded settings.Gateway, server *serving.Server, log *decisionlog.Log) int {
 	signals := make(chan os.Signal, 4)
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -34,6 +34,7 @@
 	fieldElapsed  = "elapsed_ms"
 	fieldAge      = "age_ms"
 	fieldDropped  = "lines_dropped"
+	fieldNode     = "node"
 )
 
 // Events of the lines.
@@ -48,6 +49,9 @@
 	EventBackEnd        = "back_end"
 	EventVanished       = "back_end_vanished"
 	EventListed         = "store_listed"
+	EventMembers        = "members"
+	EventLearned        = "learned_from_peer"
+	EventPeerMalformed  = "peer_malformed"
 	EventStoreLost      = "store_lost"
 	EventStoreRegained  = "store_regained"
 	EventLinesDropped   = "lines_dropped"
@@ -218,3 +222,20 @@
 	}
 	l.log.WithFields(logrus.Fields{fieldEvent: EventStoreRegained, fieldAge: contactAge.Milliseconds()}).Info(EventStoreRegained)
 }
+
+// Members implements gateway.Journal.
+func (l *Log) Members(alive int) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventMembers, "alive": alive}).Info(EventMembers)
+}
+
+// Learned implements gateway.Journal.
+func (l *Log) Learned(from string, records int, revision uint64) {
+	l.log.WithFields(logrus.Fields{
+		fieldEvent: EventLearned, fieldNode: from, "items": records, fieldRevision: revision,
+	}).Info(EventLearned)
+}
+
+// PeerMalformed implements gateway.Journal.
+func (l *Log) PeerMalformed(remote string, err error) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventPeerMalformed, fieldNode: remote, fieldReason: err.Error()}).Warn(EventPeerMalformed)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -62,10 +62,14 @@
 	For      time.Duration
 }
 
+// shortestWatch is the least share of the longest wait that a watch waits among those of other nodes.
+const shortestWatch = 0.3
+
 // Core holds the state of the reading.
 type Core struct {
 	settings Settings
 	random   func() float64
+	spread   bool
 	// revision up to which all changes are known; known after a whole listing.
 	revision uint64
 	listed   bool
@@ -119,7 +123,7 @@
 	if !c.listed || c.listing {
 		return Call{Kind: List, After: c.after}
 	}
-	return Call{Kind: Watch, Revision: c.revision, For: c.settings.WatchFor}
+	return Call{Kind: Watch, Revision: c.revision, For: c.watchFor()}
 }
 
 // Page takes in a page of a listing: its last key, the store's revision, and whether there is more. It reports whether the
@@ -150,6 +154,33 @@
 	}
 }
 
+// Advance takes in that all changes up to a revision were learned from elsewhere; the next watch goes on from there.
+func (c *Core) Advance(revision uint64) {
+	c.revision = max(c.revision, revision)
+	if !c.listing {
+		c.listed = true
+	}
+}
+
+// Spread makes watches wait for a random time up to a length from now on, for one node among others: watches that end on the
+// same change would else go on in step, and all miss the same one.
+func (c *Core) Spread(length time.Duration) {
+	c.settings.WatchFor = length
+	c.spread = true
+}
+
+func (c *Core) watchFor() time.Duration {
+	if !c.spread {
+		return c.settings.WatchFor
+	}
+	return time.Duration((shortestWatch + (1-shortestWatch)*c.random()) * float64(c.settings.WatchFor))
+}
+
+// Served reports whether the store answers this node: it did so of late, and not with trouble since.
+func (c *Core) Served(now time.Duration) bool {
+	return c.contactAt >= 0 && c.backoff == 0 && now-c.contactAt < c.settings.WatchFor+c.settings.GatherFor+c.settings.LongestBackoff
+}
+
 // Failed takes in that a call went wrong.
 func (c *Core) Failed(now time.Duration, trouble Trouble) {
 	c.troubledAt = now
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,8 +15,10 @@
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
 	"stiletrail/internal/limit"
+	"stiletrail/internal/membership"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
+	"stiletrail/internal/spread"
 )
 
 // Call is a request of a caller.
@@ -53,7 +55,16 @@
 	Forward forward.Settings
 	Replica replica.Settings
 	Follow  follow.Settings
+	Spread  spread.Settings
 	Places  replica.Places
+	// WatchPerNode times the nodes known is how long a watch waits, within the bounds of Follow.WatchFor and LongestWatch: the
+	// more nodes there are, the sooner one of them learns what the watches of others have missed, and tells.
+	WatchPerNode time.Duration
+	LongestWatch time.Duration
+	// MostConnections bounds what of a back end's connections one node may use, however few nodes are known.
+	MostConnections int
+	// RetrySlack is what all nodes together may send extra in a window beyond the share.
+	RetrySlack int
 	// RetryShare of the requests of a service may be extra attempts in any RetryWindow, over all nodes.
 	RetryShare  float64
 	RetryWindow time.Duration
@@ -88,22 +99,29 @@
 	budgets  map[string]*limit.SlidingBudget
 	splitter *routing.Splitter
 	follower *follow.Core
-	// keys gives the id of the back end an item of the store is about, and the revision it was last taken at.
-	keys map[string]keyState
-	// unlisted collects what a listing under way has named so far.
+	// members are the nodes known, peers carries messages to them; nil on a node without peers.
+	members *membership.Core
+	peers   PeerTransport
+	// nodes is the number of nodes to share what there is with: those known, dead ones included, since they may be back; 0 while
+	// this node has not joined them.
+	nodes int
+	// view is this node's copy of the store; listedKeys collects what a listing under way has named so far.
+	view       *spread.Core
 	listedKeys map[string]bool
 }
 
 // New returns a gateway that knows nothing yet. Run makes it follow the store.
 func New(settings Settings, backEnds BackEnds, store Store, journal Journal) *Gateway {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &Gateway{
+	g := &Gateway{
 		settings: settings, backEnds: backEnds, store: store, journal: journal, started: time.Now(), givenUp: make(chan struct{}),
 		starved:  make(chan struct{}, 1),
 		replicas: replica.NewSet(settings.Replica, settings.Places, random),
 		budgets:  map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
-		follower: follow.New(settings.Follow, random.Float64), keys: map[string]keyState{}, listedKeys: map[string]bool{},
+		follower: follow.New(settings.Follow, random.Float64), listedKeys: map[string]bool{},
 	}
+	g.view = spread.New(settings.Spread, g.somePeers)
+	return g
 }
 
 // now is the time since the start, on the monotonic clock.
@@ -160,12 +178,12 @@
 
 // SpendHedge implements forward.World.
 func (w world) SpendHedge(service string) bool {
-	return w.gateway.budget(service).Spend(w.now, w.gateway.settings.HedgeReserve)
+	return w.gateway.budget(service).Spend(w.now, w.gateway.settings.HedgeReserve, w.gateway.retrySlack())
 }
 
 // SpendRetry implements forward.World.
 func (w world) SpendRetry(service string) bool {
-	return w.gateway.budget(service).Spend(w.now, 0)
+	return w.gateway.budget(service).Spend(w.now, 0, w.gateway.retrySlack())
 }
 
 // Version of the configuration in force, 0 without one.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
+	"stiletrail/internal/message"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
 	"stiletrail/internal/settings"
@@ -20,9 +22,11 @@
 
 // fakeStore is a store in memory. Watches wait on the virtual clock.
 type fakeStore struct {
-	mutex    sync.Mutex
-	items    map[string]gateway.Item
-	history  []gateway.Item
+	mutex   sync.Mutex
+	items   map[string]message.StoreRecord
+	history []message.StoreRecord
+	// meanings of the values, by value.
+	meanings map[string]gateway.Item
 	revision uint64
 	dropped  uint64
 	err      error
@@ -33,7 +37,7 @@
 }
 
 func newStore() *fakeStore {
-	return &fakeStore{items: map[string]gateway.Item{}, changed: make(chan struct{})}
+	return &fakeStore{items: map[string]message.StoreRecord{}, meanings: map[string]gateway.Item{}, changed: make(chan struct{})}
 }
 
 var (
@@ -53,17 +57,31 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
-	item.Revision = s.revision
+	record := message.StoreRecord{Key: item.Key, Revision: s.revision, Gone: item.Gone}
 	if item.Gone {
 		delete(s.items, item.Key)
 	} else {
-		s.items[item.Key] = item
+		record.Value = []byte(fmt.Sprint("value ", s.revision))
+		s.meanings[string(record.Value)] = item
+		s.items[item.Key] = record
 	}
-	s.history = append(s.history, item)
+	s.history = append(s.history, record)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// Decode implements gateway.Store.
+func (s *fakeStore) Decode(record message.StoreRecord) gateway.Item {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	item := s.meanings[string(record.Value)]
+	item.Key, item.Revision, item.Gone = record.Key, record.Revision, record.Gone
+	if id, found := strings.CutPrefix(record.Key, "back ends/"); found {
+		item.BackEndID = id
+	}
+	return item
+}
+
 func (s *fakeStore) set(change func(*fakeStore)) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -76,14 +94,14 @@
 	defer s.mutex.Unlock()
 	s.calls++
 	page := gateway.Page{At: s.revision}
-	for _, item := range s.items {
-		page.Items = append(page.Items, item)
+	for _, record := range s.items {
+		page.Records = append(page.Records, record)
 	}
 	return page, s.err
 }
 
 // Watch implements gateway.Store.
-func (s *fakeStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]gateway.Item, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]message.StoreRecord, uint64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	s.set(func(s *fakeStore) { s.calls++ })
@@ -102,7 +120,7 @@
 	}
 }
 
-func (s *fakeStore) since(revision uint64) (items []gateway.Item, at uint64, changed chan struct{}, err error) {
+func (s *fakeStore) since(revision uint64) (items []message.StoreRecord, at uint64, changed chan struct{}, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.err != nil {
@@ -152,6 +170,9 @@
 func (silentJournal) Listed(int, uint64)                                        {}
 func (silentJournal) StoreLost(follow.Trouble, *failure.Failure, time.Duration) {}
 func (silentJournal) StoreAnswered(time.Duration)                               {}
+func (silentJournal) Members(int)                                               {}
+func (silentJournal) Learned(string, int, uint64)                               {}
+func (silentJournal) PeerMalformed(string, error)                               {}
 
 const shards = 4
 
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -21,4 +21,8 @@
 	Listed(items int, revision uint64)
 	StoreLost(trouble follow.Trouble, cause *failure.Failure, contactAge time.Duration)
 	StoreAnswered(contactAge time.Duration)
+	Members(alive int)
+	// Learned: a peer told what the store had not.
+	Learned(from string, records int, revision uint64)
+	PeerMalformed(remote string, err error)
 }
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"stiletrail/internal/membership"
+	"stiletrail/internal/message"
+	"stiletrail/internal/spread"
+)
+
+// PeerTransport carries messages to other nodes; sending never blocks.
+type PeerTransport interface {
+	Send(to string, m message.Message)
+}
+
+// peerTick is the pause between looks at what is due among peers.
+const peerTick = 200 * time.Millisecond
+
+// Join makes the gateway a member among the nodes that the seeds know. It is called before Run.
+func (g *Gateway) Join(self membership.Member, seeds []string, peers PeerTransport) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	g.members = membership.New(g.now(), self, seeds, membership.DefaultSettings(), random)
+	g.peers = peers
+}
+
+// somePeers picks random members for the spreading of the store's state.
+func (g *Gateway) somePeers(count int) []string {
+	if g.members == nil {
+		return nil
+	}
+	return g.members.Pick(count, membership.Member.Usable)
+}
+
+// tell sends what was decided; the lock is held.
+func (g *Gateway) tell(sends []spread.Send) {
+	for _, send := range sends {
+		g.peers.Send(send.To, send.Message)
+	}
+}
+
+func (g *Gateway) tellMembers(sends []membership.Send) {
+	for _, send := range sends {
+		g.peers.Send(send.To, send.Message)
+	}
+}
+
+// tickPeers drives membership and spreading until the context ends.
+func (g *Gateway) tickPeers(ctx context.Context) {
+	var version uint64
+	joined := false
+	for ctx.Err() == nil {
+		pause(ctx, peerTick)
+		g.mutex.Lock()
+		now := g.now()
+		g.tellMembers(g.members.Tick(now))
+		g.tell(g.view.Tick(now, g.follower.Served(now)))
+		if g.members.Version() != version || g.members.Joined(now) != joined {
+			version, joined = g.members.Version(), g.members.Joined(now)
+			g.nodes = 0
+			if joined {
+				g.nodes = len(g.members.Members())
+			}
+			g.shareOut()
+			g.journal.Members(g.members.AliveCount())
+		}
+		g.mutex.Unlock()
+	}
+}
+
+// Message implements transport.Handler.
+func (g *Gateway) Message(from string, m message.Message) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	switch m.(type) {
+	case *message.Probe, *message.ProbeAck, *message.ProbeRequest, *message.MemberSync:
+		sends, _ := g.members.Receive(now, from, m)
+		g.tellMembers(sends)
+	case *message.StoreDigest, *message.StoreRequest, *message.StoreRecords:
+		g.receiveSpread(now, from, m)
+	}
+}
+
+// receiveSpread takes in what a peer knows of the store.
+func (g *Gateway) receiveSpread(now time.Duration, from string, m message.Message) {
+	received := g.view.Receive(now, from, m, g.follower.Served(now))
+	settled := g.follower.Settled(now)
+	for _, record := range received.Records {
+		if record.Gone {
+			g.vanished(now, record.Key, settled)
+		} else {
+			g.apply(now, record)
+		}
+	}
+	for _, key := range received.Gone {
+		g.vanished(now, key, settled)
+	}
+	if received.Advanced {
+		g.follower.Advance(g.view.Revision())
+		g.listed.Store(true)
+		g.journal.Learned(from, len(received.Records)+len(received.Gone), g.view.Revision())
+	}
+	g.tell(received.Sends)
+}
+
+// Undelivered implements transport.Handler. What is due is said again by itself.
+func (g *Gateway) Undelivered(string, message.Message, bool) {}
+
+// Disconnected implements transport.Handler.
+func (g *Gateway) Disconnected(string) {}
+
+// Malformed implements transport.Handler.
+func (g *Gateway) Malformed(remote string, err error) { g.journal.PeerMalformed(remote, err) }
+
+// shareOut divides what the nodes have in common among those known: the connections of each back end, and the calls to the
+// store. A node that does not know the others yet keeps to the settings.
+func (g *Gateway) shareOut() {
+	table := g.table.Load()
+	if g.nodes == 0 || table == nil {
+		return
+	}
+	if g.nodes > 1 {
+		g.follower.Spread(min(max(time.Duration(g.nodes)*g.settings.WatchPerNode, g.settings.Follow.WatchFor), g.settings.LongestWatch))
+	}
+	connections := map[string]int{}
+	for _, service := range table.Services() {
+		if service.MaximumConnections > 0 {
+			connections[service.Name] = min(max(service.MaximumConnections/g.nodes, 1), g.settings.MostConnections)
+		}
+	}
+	g.replicas.SetConnections(connections)
+}
+
+// retrySlack is this node's part of the extra attempts allowed beyond the share; half is left for nodes that are not known.
+func (g *Gateway) retrySlack() float64 {
+	if g.nodes == 0 {
+		return 0
+	}
+	return float64(g.settings.RetrySlack) / float64(2*g.nodes)
+}
--- /dev/null
+++ b/internal/gateway/peers_test.go
@@ -0,0 +1,178 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/membership"
+	"stiletrail/internal/message"
+	"stiletrail/internal/settings"
+)
+
+// network carries messages between gateways on the virtual clock.
+type network struct {
+	gateways map[string]*gateway.Gateway
+	delay    time.Duration
+}
+
+// end is a gateway's own end of the network.
+type end struct {
+	network *network
+	address string
+}
+
+// Send implements gateway.PeerTransport.
+func (e end) Send(to string, m message.Message) {
+	go func() {
+		time.Sleep(e.network.delay)
+		if receiver := e.network.gateways[to]; receiver != nil {
+			receiver.Message(e.address, m)
+		}
+	}()
+}
+
+// cluster is some gateways that read one store, each through a path of its own that may be cut.
+type cluster struct {
+	store    *fakeStore
+	paths    []*cutStore
+	gateways []*gateway.Gateway
+	network  *network
+	backEnds *fakeBackEnds
+	contexts []context.CancelFunc
+}
+
+// cutStore is the store as one node reaches it.
+type cutStore struct {
+	*fakeStore
+	cut bool
+}
+
+// List implements gateway.Store.
+func (s *cutStore) List(ctx context.Context, after string) (gateway.Page, error) {
+	if s.cut {
+		return gateway.Page{}, errDown
+	}
+	return s.fakeStore.List(ctx, after)
+}
+
+// Watch implements gateway.Store.
+func (s *cutStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]message.StoreRecord, uint64, error) {
+	if s.cut {
+		return nil, 0, errDown
+	}
+	return s.fakeStore.Watch(ctx, revision, wait)
+}
+
+func address(number int) string { return fmt.Sprint("node-", number) }
+
+func (c *cluster) start(number int) {
+	loaded := settings.DefaultGateway()
+	loaded.Zone = "zone"
+	loaded.RetrySlack = 60
+	loaded.Regions = map[string]string{"zone": "a", "other": "b"}
+	g := gateway.New(gateway.FromSettings(loaded), c.backEnds, c.paths[number], silentJournal{})
+	self := membership.Member{Address: address(number), Zone: "zone", Region: "a", Generation: uint64(number) + 1, Incarnation: uint64(time.Now().UnixMilli())}
+	g.Join(self, []string{address(0), address(1)}, end{c.network, address(number)})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.gateways[number], c.contexts[number] = g, cancel
+	c.network.gateways[address(number)] = g
+	go g.Run(ctx)
+}
+
+func playCluster(t *testing.T, nodes int, test func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{
+			store: newStore(), network: &network{gateways: map[string]*gateway.Gateway{}, delay: 12 * time.Millisecond},
+			backEnds: &fakeBackEnds{answer: after(20 * time.Millisecond)}, gateways: make([]*gateway.Gateway, nodes),
+			contexts: make([]context.CancelFunc, nodes),
+		}
+		c.store.put(configuration(1))
+		for i := range shards {
+			c.store.put(backEnd(fmt.Sprint("s", i), "-near", "zone"))
+		}
+		for i := range nodes {
+			c.paths = append(c.paths, &cutStore{fakeStore: c.store})
+			c.start(i)
+		}
+		time.Sleep(12 * time.Second)
+		test(t, c)
+		for _, cancel := range c.contexts {
+			cancel()
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+	})
+}
+
+// TestNodeThatTheStoreRefuses has each change in force within three seconds all the same: others tell it.
+func TestNodeThatTheStoreRefuses(t *testing.T) {
+	playCluster(t, 5, func(t *testing.T, c *cluster) {
+		c.paths[3].cut = true
+		time.Sleep(20 * time.Second)
+		for version := uint64(2); version < 8; version++ {
+			c.store.put(configuration(version))
+			time.Sleep(3 * time.Second)
+			if got := c.gateways[3].Version(); got != version {
+				t.Errorf("version %d is in force three seconds after %d", got, version)
+			}
+		}
+		gone := backEnd("s0", "-near", "zone")
+		c.store.put(gateway.Item{Key: gone.Key, Gone: true})
+		time.Sleep(3 * time.Second)
+		if known := c.gateways[3].BackEndsKnown(); known != shards-1 {
+			t.Errorf("%d back ends are known three seconds after one left", known)
+		}
+	})
+}
+
+// TestRestartWhileTheStoreIsDown: a node that starts while nobody reaches the store serves soon with what the others know.
+func TestRestartWhileTheStoreIsDown(t *testing.T) {
+	playCluster(t, 4, func(t *testing.T, c *cluster) {
+		for _, path := range c.paths {
+			path.cut = true
+		}
+		time.Sleep(10 * time.Second)
+		c.contexts[2]()
+		c.start(2)
+		time.Sleep(2 * time.Second)
+		if !c.gateways[2].Ready() || c.gateways[2].BackEndsKnown() != shards {
+			t.Errorf("ready %v, %d back ends known", c.gateways[2].Ready(), c.gateways[2].BackEndsKnown())
+		}
+	})
+}
+
+// TestSilentWatchesOfAll: with the watches of all nodes silent and the history dropped, the change is in force everywhere
+// within four seconds, though each watch waits longer than that.
+func TestSilentWatchesOfAll(t *testing.T) {
+	playCluster(t, 9, func(t *testing.T, c *cluster) {
+		time.Sleep(20 * time.Second)
+		c.store.set(func(s *fakeStore) { s.silent = true })
+		time.Sleep(100 * time.Millisecond)
+		c.store.put(configuration(2))
+		c.store.set(func(s *fakeStore) { s.dropped, s.history = s.revision, nil })
+		time.Sleep(500 * time.Millisecond)
+		c.store.set(func(s *fakeStore) { s.silent = false })
+		time.Sleep(3500 * time.Millisecond)
+		for number, g := range c.gateways {
+			if g.Version() != 2 {
+				t.Errorf("node %d has version %d four seconds after the change", number, g.Version())
+			}
+		}
+	})
+}
+
+// TestCallsFallWithNodes: nine nodes call the store less often each than one alone.
+func TestCallsFallWithNodes(t *testing.T) {
+	playCluster(t, 9, func(t *testing.T, c *cluster) {
+		before := c.store.calls
+		time.Sleep(10 * time.Minute)
+		each := float64(c.store.calls-before) / 9
+		if alone := (10 * time.Minute).Seconds() / 2.5; each > 0.6*alone {
+			t.Errorf("%.0f calls a node in ten minutes, one alone makes %.0f", each, alone)
+		}
+	})
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,7 @@
 	"stiletrail/internal/forward"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/settings"
+	"stiletrail/internal/spread"
 )
 
 // Values that no operator needs to set.
@@ -24,6 +25,14 @@
 	settleFor      = 5 * time.Second
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = time.Second
+	digestInterval = time.Second
+	digestFanout   = 3
+	peerPatience   = time.Second
+	keepGone       = time.Minute
+	watchPerNode   = 800 * time.Millisecond
+	longestWatch   = 15 * time.Second
+	// mostConnections of one node to a back end are more than it can use.
+	mostConnections = 8
 )
 
 // FromSettings gives the gateway's settings for those of the operator.
@@ -39,6 +48,8 @@
 		Follow: follow.Settings{
 			WatchFor: watchFor, GatherFor: gatherFor, SettleFor: settleFor, FirstBackoff: firstBackoff, LongestBackoff: longestBackoff,
 		},
+		Spread:       spread.Settings{Interval: digestInterval, Fanout: digestFanout, Patience: peerPatience, KeepGone: keepGone},
+		WatchPerNode: watchPerNode, LongestWatch: longestWatch, MostConnections: mostConnections, RetrySlack: s.RetrySlack,
 		Places:     replica.Places{Zone: s.Zone, Regions: s.Regions},
 		RetryShare: s.RetryShare * (1 - retryMargin), RetryWindow: s.RetryWindow, HedgeReserve: hedgeReserve,
 		Linger: linger, MaximumRequests: s.MaximumRequests,
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -6,6 +6,7 @@
 
 	"stiletrail/internal/failure"
 	"stiletrail/internal/follow"
+	"stiletrail/internal/message"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
 )
@@ -19,14 +20,16 @@
 	Revision      uint64
 	Gone          bool
 	Configuration *routing.Configuration
-	BackEnd       *replica.Entry
+	// BackEndID is set on items about a back end, also on those that vanished.
+	BackEndID string
+	BackEnd   *replica.Entry
 	// Err says why an item could not be read; what was known of it before stays in force.
 	Err error
 }
 
 // Page is a part of a listing.
 type Page struct {
-	Items []Item
+	Records []message.StoreRecord
 	// Last key of the page, from which the next one goes on.
 	Last string
 	At   uint64
@@ -37,18 +40,13 @@
 type Store interface {
 	List(ctx context.Context, after string) (Page, error)
 	// Watch waits for changes after a revision and returns them with the revision to go on from.
-	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Item, uint64, error)
+	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]message.StoreRecord, uint64, error)
+	// Decode says what a record means. A value that cannot be read is noted in the item.
+	Decode(record message.StoreRecord) Item
 	// Trouble is the kind of a failure of this store.
 	Trouble(err error) follow.Trouble
 }
 
-// keyState is what was last taken of a key.
-type keyState struct {
-	revision uint64
-	// backEnd is the id of the back end the key is about, empty for others.
-	backEnd string
-}
-
 // Bounds of a call to the store.
 const (
 	listTimeout = 3 * time.Second
@@ -65,6 +63,9 @@
 // Run follows the store until the context ends.
 func (g *Gateway) Run(ctx context.Context) {
 	go g.maintain(ctx)
+	if g.members != nil {
+		go g.tickPeers(ctx)
+	}
 	for ctx.Err() == nil {
 		g.mutex.Lock()
 		call := g.follower.Next()
@@ -118,33 +119,31 @@
 	if call.After == "" {
 		clear(g.listedKeys)
 	}
-	for i := range page.Items {
-		g.listedKeys[page.Items[i].Key] = true
-		g.take(now, &page.Items[i])
+	for _, record := range page.Records {
+		g.listedKeys[record.Key] = true
+		g.take(now, record)
 	}
 	if g.follower.Page(now, page.Last, page.At, page.More) {
-		g.journal.Listed(len(g.listedKeys), page.At)
-		g.dropUnlisted(now)
-		g.listed.Store(true)
+		g.listedWhole(now)
 	}
 }
 
-// dropUnlisted takes every known key that a whole listing did not name as vanished.
-func (g *Gateway) dropUnlisted(now time.Duration) {
-	for key, state := range g.keys {
-		if g.listedKeys[key] {
-			continue
-		}
-		delete(g.keys, key)
-		g.vanished(now, state, g.follower.Settled(now))
+// listedWhole takes every known key that a whole listing did not name as vanished.
+func (g *Gateway) listedWhole(now time.Duration) {
+	revision := g.follower.Revision()
+	g.journal.Listed(len(g.listedKeys), revision)
+	for _, key := range g.view.Whole(now, g.listedKeys, revision) {
+		g.vanished(now, key, g.follower.Settled(now))
 	}
 	clear(g.listedKeys)
+	g.listed.Store(true)
+	g.tell(g.view.Known(revision))
 }
 
 func (g *Gateway) watch(ctx context.Context, call follow.Call) {
 	bounded, cancel := context.WithTimeout(ctx, call.For+watchSlack)
 	defer cancel()
-	items, at, err := g.store.Watch(bounded, call.Revision, call.For)
+	records, at, err := g.store.Watch(bounded, call.Revision, call.For)
 	if err != nil {
 		g.failed(ctx, err)
 		return
@@ -153,59 +152,54 @@
 	defer g.mutex.Unlock()
 	now := g.now()
 	g.regained(now)
-	g.takeChanges(now, items)
-	g.follower.Changes(now, at, len(items))
+	g.takeChanges(now, records)
+	g.follower.Changes(now, at, len(records))
+	g.tell(g.view.Known(g.follower.Revision()))
 }
 
-func (g *Gateway) takeChanges(now time.Duration, items []Item) {
+func (g *Gateway) takeChanges(now time.Duration, records []message.StoreRecord) {
 	settled := g.follower.Settled(now)
-	if vanishing := countGone(items); vanishing >= massCount && vanishing*massShare > g.replicas.Len() {
+	if vanishing := countGone(records); vanishing >= massCount && vanishing*massShare > g.replicas.Len() {
 		settled = false
 	}
-	for i := range items {
-		item := &items[i]
-		if !item.Gone {
-			g.take(now, item)
-			continue
-		}
-		state := g.keys[item.Key]
-		if item.Revision > state.revision {
-			delete(g.keys, item.Key)
-			g.vanished(now, state, settled)
+	for _, record := range records {
+		if !record.Gone {
+			g.take(now, record)
+		} else if g.view.Take(now, record) {
+			g.vanished(now, record.Key, settled)
 		}
 	}
 }
 
-func countGone(items []Item) int {
+func countGone(records []message.StoreRecord) int {
 	count := 0
-	for i := range items {
-		if items[i].Gone {
+	for _, record := range records {
+		if record.Gone {
 			count++
 		}
 	}
 	return count
 }
 
-// take brings an item in force unless a newer one of its key was taken.
-func (g *Gateway) take(now time.Duration, item *Item) {
-	state := g.keys[item.Key]
-	if item.Revision <= state.revision {
-		return
+// take brings a record in force unless a newer one of its key was taken.
+func (g *Gateway) take(now time.Duration, record message.StoreRecord) {
+	if g.view.Take(now, record) {
+		g.apply(now, record)
 	}
-	state.revision = item.Revision
+}
+
+// apply brings what a record means in force.
+func (g *Gateway) apply(now time.Duration, record message.StoreRecord) {
+	item := g.store.Decode(record)
 	if item.Err != nil {
-		g.journal.Rejected(item)
+		g.journal.Rejected(&item)
 	}
-	if item.BackEnd != nil {
-		state.backEnd = item.BackEnd.ID
-		if g.replicas.Put(now, *item.BackEnd) {
-			g.journal.BackEnd(*item.BackEnd, item.Revision)
-		}
+	if item.BackEnd != nil && g.replicas.Put(now, *item.BackEnd) {
+		g.journal.BackEnd(*item.BackEnd, item.Revision)
 	}
 	if item.Configuration != nil {
-		g.adopt(item)
+		g.adopt(&item)
 	}
-	g.keys[item.Key] = state
 }
 
 // adopt puts a configuration in force if it is newer than the one that is. One that cannot be read changes nothing.
@@ -222,12 +216,14 @@
 	}
 	g.splitter.Retain(compiled)
 	g.table.Store(compiled)
+	g.shareOut()
 	g.journal.Configuration(compiled, item.Revision)
 }
 
-func (g *Gateway) vanished(now time.Duration, state keyState, settled bool) {
-	if state.backEnd != "" && g.replicas.Remove(now, state.backEnd, settled) {
-		g.journal.Vanished(state.backEnd, settled)
+func (g *Gateway) vanished(now time.Duration, key string, settled bool) {
+	id := g.store.Decode(message.StoreRecord{Key: key, Gone: true}).BackEndID
+	if id != "" && g.replicas.Remove(now, id, settled) {
+		g.journal.Vanished(id, settled)
 	}
 }
 
--- a/internal/limit/sliding.go
+++ b/internal/limit/sliding.go
@@ -27,10 +27,10 @@
 }
 
 // Spend takes one extra attempt out of the budget, or reports false. The part of the budget that is kept back, from 0 to 1,
-// is left for more urgent uses.
-func (b *SlidingBudget) Spend(now time.Duration, keptBack float64) bool {
+// is left for more urgent uses. The slack is this node's part of what all nodes may spend in a window beyond the share.
+func (b *SlidingBudget) Spend(now time.Duration, keptBack, slack float64) bool {
 	bucket := b.bucket(now)
-	if float64(sum(b.extras)+1) > b.share*(1-keptBack)*float64(sum(b.requests)) {
+	if float64(sum(b.extras)+1) > (1-keptBack)*(b.share*float64(sum(b.requests))+slack) {
 		return false
 	}
 	b.extras[bucket]++
--- a/internal/limit/sliding_test.go
+++ b/internal/limit/sliding_test.go
@@ -31,7 +31,7 @@
 			case 0:
 				nodes[node] = limit.NewSlidingBudget(share, window)
 			case 1, 2, 3, 4:
-				if nodes[node].Spend(now, 0) {
+				if nodes[node].Spend(now, 0, 0) {
 					events = append(events, event{now, false})
 				}
 			default:
@@ -59,17 +59,17 @@
 // TestSlidingBudget: empty at the start, a part kept back for urgent uses, and free again when the window has passed.
 func TestSlidingBudget(t *testing.T) {
 	budget := limit.NewSlidingBudget(0.2, 10*time.Second)
-	if budget.Spend(0, 0) {
+	if budget.Spend(0, 0, 0) {
 		t.Error("spent before any request")
 	}
 	budget.Request(0, 50)
-	for budget.Spend(0, 0.5) {
+	for budget.Spend(0, 0.5, 0) {
 		continue
 	}
 	if left := budget.Left(0); left != 5 {
 		t.Errorf("%d left, 5 were kept back of 10", left)
 	}
-	for budget.Spend(0, 0) {
+	for budget.Spend(0, 0, 0) {
 		continue
 	}
 	budget.Request(9*time.Second, 10)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -30,6 +30,9 @@
 	KindVersionRequest
 	KindVersionReply
 	KindHello
+	KindStoreDigest
+	KindStoreRequest
+	KindStoreRecords
 )
 
 // Message is one of the types of this package.
@@ -59,6 +62,9 @@
 	KindVersionRequest:   func() Message { return new(VersionRequest) },
 	KindVersionReply:     func() Message { return new(VersionReply) },
 	KindHello:            func() Message { return new(Hello) },
+	KindStoreDigest:      func() Message { return new(StoreDigest) },
+	KindStoreRequest:     func() Message { return new(StoreRequest) },
+	KindStoreRecords:     func() Message { return new(StoreRecords) },
 }
 
 func newMessage(kind Kind) Message {
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -29,7 +29,8 @@
 		&ForwardExecute{Sequence: 1, Service: "s", Key: "k", Body: []byte("b"), Ticket: []byte("t"), RemainingMicroseconds: 5},
 		&ForwardReply{Sequence: 1, Code: "C", NotRun: true, Text: "t", RetryAfterMilliseconds: 1, Shard: 2, Result: []byte("r")},
 		&VersionRequest{Sequence: 1, Service: "s"}, &VersionReply{Sequence: 1, Versions: []ServiceVersion{{Service: "s", Version: 2}}},
-		&Hello{Address: "a"},
+		&Hello{Address: "a"}, &StoreDigest{Revision: 1}, &StoreRequest{Revision: 2},
+		&StoreRecords{Since: 1, Revision: 3, Whole: true, Records: []StoreRecord{{Key: "k", Revision: 2, Gone: true, Value: []byte("v")}}},
 	}
 }
 
--- /dev/null
+++ b/internal/message/store.go
@@ -0,0 +1,53 @@
+package message
+
+// StoreDigest says how much of the store a node knows.
+type StoreDigest struct {
+	// Revision up to which the sender knows all changes; 0 while it knows nothing whole.
+	Revision uint64
+}
+
+// Kind implements Message.
+func (*StoreDigest) Kind() Kind        { return KindStoreDigest }
+func (m *StoreDigest) fields(c *codec) { c.uint64(&m.Revision) }
+
+// StoreRequest asks a node for what it knows beyond a revision.
+type StoreRequest struct {
+	Revision uint64
+}
+
+// Kind implements Message.
+func (*StoreRequest) Kind() Kind        { return KindStoreRequest }
+func (m *StoreRequest) fields(c *codec) { c.uint64(&m.Revision) }
+
+// StoreRecord is an item of the store as it was last written, or that it is gone.
+type StoreRecord struct {
+	Key      string
+	Revision uint64
+	Gone     bool
+	Value    []byte
+}
+
+// StoreRecords answers a StoreRequest.
+type StoreRecords struct {
+	// Since is the revision that was asked for: the records are all changes after it.
+	Since uint64
+	// Revision up to which all changes are known once these records are taken.
+	Revision uint64
+	// Whole: the records are all there are, and not only what has changed since the revision that was asked for.
+	Whole   bool
+	Records []StoreRecord
+}
+
+// Kind implements Message.
+func (*StoreRecords) Kind() Kind { return KindStoreRecords }
+func (m *StoreRecords) fields(c *codec) {
+	c.uint64(&m.Since)
+	c.uint64(&m.Revision)
+	c.bool(&m.Whole)
+	list(c, &m.Records, func(c *codec, record *StoreRecord) {
+		c.string(&record.Key)
+		c.uint64(&record.Revision)
+		c.bool(&record.Gone)
+		c.bytes(&record.Value)
+	})
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -29,11 +29,12 @@
 func (s *Set) Pick(now time.Duration, service string, excluded []*Replica) (best *Replica, busy bool) {
 	var bestScore float64
 	bestRank := rankNever
+	connections := s.connectionsOf(service)
 	for _, member := range s.byService[service] {
 		if !member.candidate() || slices.Contains(excluded, member) {
 			continue
 		}
-		if len(member.inFlight) >= s.settings.Connections {
+		if len(member.inFlight) >= connections {
 			busy = true
 			continue
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -122,6 +122,9 @@
 // Service returns what is configured of a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Services of the configuration.
+func (t *Table) Services() []Service { return t.configuration.Services }
+
 // Match returns the route with the longest prefix of the path on a host, or nil. A port in the host is ignored.
 func (t *Table) Match(host, path string) *Route {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -149,14 +149,16 @@
 	{"store_interval", "100ms to 10m", false, duration(100*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.StoreInterval })},
 }
 
-func setSeeds(s *Settings, value string) bool {
-	s.Seeds = nil
-	for _, seed := range strings.Split(value, ",") {
-		seed = strings.TrimSpace(seed)
-		if !isAddress(seed) {
+func setSeeds(s *Settings, value string) bool { return setAddresses(&s.Seeds, value) }
+
+func setAddresses(target *[]string, value string) bool {
+	*target = nil
+	for _, address := range strings.Split(value, ",") {
+		address = strings.TrimSpace(address)
+		if !isAddress(address) {
 			return false
 		}
-		s.Seeds = append(s.Seeds, seed)
+		*target = append(*target, address)
 	}
 	return true
 }
--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,226 @@
+package spread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"stiletrail/internal/message"
+	"stiletrail/internal/spread"
+)
+
+var settings = spread.Settings{Interval: time.Second, Fanout: 2, Patience: time.Second, KeepGone: 20 * time.Second}
+
+// world is some nodes, the store they follow, and the messages between them.
+type world struct {
+	now     time.Duration
+	records map[string]message.StoreRecord
+	history []message.StoreRecord
+	nodes   []*node
+	random  *rand.Rand
+}
+
+// node has its copy; served says whether it reads the store.
+type node struct {
+	name   string
+	core   *spread.Core
+	served bool
+	inbox  []letter
+}
+
+type letter struct {
+	from    string
+	message message.Message
+}
+
+func newWorld(count int, random *rand.Rand) *world {
+	w := &world{records: map[string]message.StoreRecord{}, random: random}
+	for i := range count {
+		n := &node{name: fmt.Sprint(i), served: true}
+		w.nodes = append(w.nodes, n)
+		w.restart(n)
+	}
+	return w
+}
+
+func (w *world) restart(n *node) {
+	n.inbox = nil
+	n.core = spread.New(settings, func(count int) []string {
+		var peers []string
+		for _, number := range w.random.Perm(len(w.nodes)) {
+			if other := w.nodes[number]; other != n && len(peers) < count {
+				peers = append(peers, other.name)
+			}
+		}
+		return peers
+	})
+}
+
+func (w *world) deliver(from *node, sends []spread.Send) {
+	for _, send := range sends {
+		for _, to := range w.nodes {
+			if to.name == send.To {
+				to.inbox = append(to.inbox, letter{from.name, send.Message})
+			}
+		}
+	}
+}
+
+// change writes or removes a key in the store.
+func (w *world) change(key string, gone bool) {
+	record := message.StoreRecord{Key: key, Revision: uint64(len(w.history) + 1), Gone: gone, Value: []byte(fmt.Sprint(len(w.history)))}
+	if gone {
+		record.Value = nil
+	}
+	w.records[key] = record
+	w.history = append(w.history, record)
+}
+
+// read lets a node that is served read all changes it does not know.
+func (w *world) read(n *node) {
+	for _, record := range w.history[min(int(n.core.Revision()), len(w.history)):] {
+		n.core.Take(w.now, record)
+	}
+	w.deliver(n, n.core.Known(uint64(len(w.history))))
+}
+
+// step lets time pass: nodes read the store if they are served, take their messages, and tick.
+func (w *world) step(length time.Duration) {
+	w.now += length
+	for _, n := range w.nodes {
+		if n.served {
+			w.read(n)
+		}
+		inbox := n.inbox
+		n.inbox = nil
+		for _, letter := range inbox {
+			w.deliver(n, n.core.Receive(w.now, letter.from, letter.message, n.served).Sends)
+		}
+		w.deliver(n, n.core.Tick(w.now, n.served))
+	}
+}
+
+// TestNodesWithoutTheStoreLearn: with one node served, all others know each change within seconds.
+func TestNodesWithoutTheStoreLearn(t *testing.T) {
+	w := newWorld(9, rand.New(rand.NewPCG(1, 1)))
+	for _, n := range w.nodes[1:] {
+		n.served = false
+	}
+	for i := range 20 {
+		w.change(fmt.Sprint("key", i%7), i%5 == 4)
+		for range 15 {
+			w.step(200 * time.Millisecond)
+		}
+		for _, n := range w.nodes {
+			if n.core.Revision() != uint64(i+1) {
+				t.Fatalf("node %s knows revision %d three seconds after %d", n.name, n.core.Revision(), i+1)
+			}
+		}
+	}
+}
+
+// TestServedNodesWaitForTheirOwnWatch: a node that the store serves asks a peer only after its patience.
+func TestServedNodesWaitForTheirOwnWatch(t *testing.T) {
+	core := spread.New(settings, func(int) []string { return []string{"peer"} })
+	core.Take(0, message.StoreRecord{Key: "k", Revision: 1})
+	core.Known(1)
+	if received := core.Receive(0, "peer", &message.StoreDigest{Revision: 5}, true); len(received.Sends) != 0 {
+		t.Errorf("asked at once: %+v", received.Sends)
+	}
+	if sends := requests(core.Tick(900*time.Millisecond, true)); sends != 0 {
+		t.Error("asked before the patience was over")
+	}
+	if sends := requests(core.Tick(time.Second, true)); sends != 1 {
+		t.Error("did not ask after the patience was over")
+	}
+	core.Receive(2*time.Second, "peer", &message.StoreDigest{Revision: 5}, true)
+	core.Known(5)
+	if sends := requests(core.Tick(4*time.Second, true)); sends != 0 {
+		t.Error("asked for what the watch has told meanwhile")
+	}
+}
+
+func requests(sends []spread.Send) int {
+	count := 0
+	for _, send := range sends {
+		if _, ok := send.Message.(*message.StoreRequest); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// TestConverge: over random changes, outages, restarts and lost or repeated messages no record goes back, and once things are
+// calm all nodes hold what the store holds.
+func TestConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		w := newWorld(rapid.IntRange(2, 5).Draw(rt, "nodes"), random)
+		taken := map[string]map[string]uint64{}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			n := w.nodes[random.IntN(len(w.nodes))]
+			switch rapid.IntRange(0, 9).Draw(rt, "what") {
+			case 0, 1, 2:
+				w.change(fmt.Sprint(random.IntN(6)), random.IntN(3) == 0)
+			case 3:
+				n.served = !n.served
+			case 4:
+				w.restart(n)
+				taken[n.name] = nil
+			case 5:
+				n.inbox = nil
+			case 6:
+				n.inbox = append(n.inbox, n.inbox...)
+			case 7:
+				random.Shuffle(len(n.inbox), func(i, j int) { n.inbox[i], n.inbox[j] = n.inbox[j], n.inbox[i] })
+			}
+			w.step(time.Duration(rapid.IntRange(50, 8000).Draw(rt, "pass")) * time.Millisecond)
+			for _, n := range w.nodes {
+				neverBack(rt, taken, n)
+			}
+		}
+		w.nodes[0].served = true
+		for _, n := range w.nodes[1:] {
+			n.served = false
+		}
+		for range 60 {
+			w.step(500 * time.Millisecond)
+		}
+		for _, n := range w.nodes {
+			same(rt, w, n)
+		}
+	})
+}
+
+// neverBack checks that no key is known at an older revision than before within one life of a node.
+func neverBack(rt *rapid.T, taken map[string]map[string]uint64, n *node) {
+	if taken[n.name] == nil {
+		taken[n.name] = map[string]uint64{}
+	}
+	for _, record := range n.core.Records() {
+		if record.Revision < taken[n.name][record.Key] {
+			rt.Fatalf("node %s went back on %s from %d to %d", n.name, record.Key, taken[n.name][record.Key], record.Revision)
+		}
+		taken[n.name][record.Key] = record.Revision
+	}
+}
+
+func same(rt *rapid.T, w *world, n *node) {
+	if len(w.history) == 0 {
+		return
+	}
+	held := map[string]message.StoreRecord{}
+	for _, record := range n.core.Records() {
+		if !record.Gone {
+			held[record.Key] = record
+		}
+	}
+	for key, record := range w.records {
+		if known, found := held[key]; found == record.Gone || (found && known.Revision != record.Revision) {
+			rt.Fatalf("node %s holds %+v of %s, the store %+v", n.name, known, key, record)
+		}
+	}
+}
--- a/internal/transport/line.go
+++ b/internal/transport/line.go
@@ -85,7 +85,7 @@
 func (l *line) write(connection net.Conn, first queued) {
 	defer func() { _ = connection.Close() }()
 	broken := l.watch(connection)
-	writer := bufio.NewWriterSize(connection, bufferSize)
+	writer := bufio.NewWriterSize(connection, l.transport.sizes.Buffer)
 	hello := message.Encode(&message.Hello{Address: l.transport.address})
 	_, _ = writer.Write(hello)
 	idle := time.NewTimer(idleTimeout)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -20,7 +20,6 @@
 
 // Limits and times of connections.
 const (
-	queueLength     = 4096
 	dialTimeout     = time.Second
 	helloTimeout    = 5 * time.Second
 	payloadTimeout  = 10 * time.Second
@@ -28,7 +27,20 @@
 	idleTimeout     = 30 * time.Second
 	redialWait      = 250 * time.Millisecond
 	maximumIncoming = 16384
-	bufferSize      = 16 << 10
+)
+
+// Sizes of what a transport holds per connection.
+type Sizes struct {
+	// Queue is the number of messages that may wait for a peer.
+	Queue int
+	// Buffer is the size of each buffer in bytes.
+	Buffer int
+}
+
+// querySizes are for nodes that send each other queries and answers, ControlSizes for those that send each other little.
+var (
+	querySizes   = Sizes{Queue: 4096, Buffer: 16 << 10}
+	ControlSizes = Sizes{Queue: 64, Buffer: 1 << 10}
 )
 
 // Handler takes what happens on connections. Calls come from many goroutines.
@@ -62,6 +74,7 @@
 // Transport is a node's listener and its connections to peers.
 type Transport struct {
 	address  string
+	sizes    Sizes
 	listener net.Listener
 	handler  Handler
 	incoming chan struct{}
@@ -79,6 +92,11 @@
 // Listen opens the listener and returns a transport that names itself by the advertised address, or by the listener's own
 // where that is empty. Serve starts it.
 func Listen(listen, advertised string) (*Transport, error) {
+	return ListenWith(listen, advertised, querySizes)
+}
+
+// ListenWith is Listen with other sizes.
+func ListenWith(listen, advertised string, sizes Sizes) (*Transport, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.SettingsInvalid, "the peer address cannot be listened on")
@@ -88,7 +106,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Transport{
-		address: advertised, listener: listener, incoming: make(chan struct{}, maximumIncoming),
+		address: advertised, sizes: sizes, listener: listener, incoming: make(chan struct{}, maximumIncoming),
 		ctx: ctx, stop: stop, lines: map[lineKey]*line{},
 	}, nil
 }
@@ -136,7 +154,7 @@
 	unregister := context.AfterFunc(t.ctx, func() { _ = connection.Close() })
 	defer unregister()
 	defer func() { _ = connection.Close() }()
-	reader := bufio.NewReaderSize(connection, bufferSize)
+	reader := bufio.NewReaderSize(connection, t.sizes.Buffer)
 	_ = connection.SetReadDeadline(time.Now().Add(helloTimeout))
 	first, err := t.readFrame(connection, reader)
 	hello, isHello := first.(*message.Hello)
@@ -193,7 +211,7 @@
 	}
 	l := t.lines[key]
 	if l == nil {
-		l = &line{transport: t, key: key, queue: make(chan queued, queueLength)}
+		l = &line{transport: t, key: key, queue: make(chan queued, t.sizes.Queue)}
 		t.lines[key] = l
 		t.tasks.Go(l.run)
 	}
