--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -22,6 +22,7 @@
 	"stiletrail/internal/membership"
 	"stiletrail/internal/serving"
 	"stiletrail/internal/settings"
+	"stiletrail/internal/telemetry"
 	"stiletrail/internal/transport"
 	"stiletrail/platform"
 )
@@ -66,9 +67,14 @@
 	level, _ := logrus.ParseLevel(loaded.LogLevel)
 	log := decisionlog.New(writer, level)
 	pool := exchange.NewPool()
-	node := gateway.New(gateway.FromSettings(loaded), platform.NewBackEnds(pool), platform.NewStoreClient(loaded.StoreAddress), log)
+	measured := telemetry.New(log)
+	store := platform.NewStoreClient(loaded.StoreAddress)
+	node := gateway.New(gateway.FromSettings(loaded), platform.NewBackEnds(pool), store, measured)
+	measured.Observe(telemetry.Source{
+		Gateway: node, BackEndConnections: pool.Open.Load, BackEndConnectionsOpened: pool.Opened.Load, LogLinesDropped: writer.Dropped,
+	})
 	addresses := serving.Addresses{Callers: loaded.CallerAddress, Ready: loaded.ReadyAddress, Metrics: loaded.MetricsAddress}
-	server, err := serving.Start(node, addresses, platform.NewIngress(node), metricsHandler(node, pool, writer))
+	server, err := serving.Start(node, addresses, platform.NewIngress(node), measured)
 	if err != nil {
 		log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": err.Error()})
 		return exitFailed
@@ -83,7 +89,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go node.Run(ctx)
-	return wait(file, loaded, server, log)
+	return wait(newReloader(file, loaded, node, store, log), server, log)
 }
 
 // join listens for other nodes and makes the node a member, where the settings name an address for that.
@@ -105,34 +111,28 @@
 }
 
 // wait handles signals until the node stops.
-func wait(file string, loaded settings.Gateway, server *serving.Server, log *decisionlog.Log) int {
+func wait(settingsFile *reloader, server *serving.Server, log *decisionlog.Log) int {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
 	for {
 		select {
+		case <-ticker.C:
+			settingsFile.look(false)
 		case err := <-server.Failed():
 			log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": err.Error()})
 			return exitFailed
 		case received := <-signals:
 			if received == syscall.SIGHUP {
-				reload(file, log)
+				settingsFile.look(true)
 				continue
 			}
 			log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": received.String()})
-			if !server.Stop(loaded.StopWithin) {
+			if !server.Stop(settingsFile.inUse.StopWithin) {
 				return exitCutShort
 			}
 			return exitOK
 		}
 	}
 }
-
-// reload checks the settings again. What listens and where stays as it is until a restart; requests under way are not touched.
-func reload(file string, log *decisionlog.Log) {
-	again, err := settings.LoadGateway(file, nil)
-	if err != nil {
-		log.Lifecycle(decisionlog.EventReload, map[string]any{"reason": failure.From(err).Message})
-		return
-	}
-	log.Lifecycle(decisionlog.EventReload, map[string]any{"settings": again})
-}
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"time"
 
@@ -94,7 +93,7 @@
 	}
 	fields := logrus.Fields{
 		fieldEvent: EventRequest, fieldRequest: call.ID, fieldVersion: result.Version, fieldElapsed: result.Elapsed.Milliseconds(),
-		fieldReason: string(result.Reason), fieldOutcome: outcomeOf(result),
+		fieldReason: string(result.Reason), fieldOutcome: result.Outcome(),
 	}
 	if result.Route != nil {
 		fields[fieldRoute] = result.Route.Name
@@ -118,20 +117,6 @@
 	return false
 }
 
-func outcomeOf(result *gateway.Result) string {
-	switch {
-	case result.Gone:
-		return "caller_gone"
-	case result.Failure != nil:
-		return string(result.Failure.Code)
-	case result.Missing > 0:
-		return "partial"
-	case result.Passed != nil:
-		return strconv.Itoa(result.Passed.Status)
-	}
-	return "complete"
-}
-
 // describe lists attempts as service, back end, purpose, start and end in milliseconds from the request's arrival, outcome.
 func describe(result *gateway.Result) []string {
 	lines := make([]string, 0, len(result.Attempts))
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -62,14 +62,16 @@
 	For      time.Duration
 }
 
-// shortestWatch is the least share of the longest wait that a watch waits among those of other nodes.
-const shortestWatch = 0.3
+// shortestWatch is worth a call.
+const shortestWatch = 200 * time.Millisecond
 
 // Core holds the state of the reading.
 type Core struct {
 	settings Settings
 	random   func() float64
-	spread   bool
+	// period and phase are of this node's turns among others; no period for one alone.
+	period time.Duration
+	phase  time.Duration
 	// revision up to which all changes are known; known after a whole listing.
 	revision uint64
 	listed   bool
@@ -110,8 +112,8 @@
 	return c.troubledAt < 0 || now-c.troubledAt >= c.settings.SettleFor
 }
 
-// Next returns what to do now.
-func (c *Core) Next() Call {
+// Next returns what to do now. Of the clock only the phase within a period counts.
+func (c *Core) Next(clock time.Duration) Call {
 	if c.pause > 0 {
 		call := Call{Kind: Pause, For: c.pause}
 		if c.gather {
@@ -123,7 +125,7 @@
 	if !c.listed || c.listing {
 		return Call{Kind: List, After: c.after}
 	}
-	return Call{Kind: Watch, Revision: c.revision, For: c.watchFor()}
+	return Call{Kind: Watch, Revision: c.revision, For: c.watchFor(clock)}
 }
 
 // Page takes in a page of a listing: its last key, the store's revision, and whether there is more. It reports whether the
@@ -162,23 +164,27 @@
 	}
 }
 
-// Spread makes watches wait for a random time up to a length from now on, for one node among others: watches that end on the
-// same change would else go on in step, and all miss the same one.
-func (c *Core) Spread(length time.Duration) {
-	c.settings.WatchFor = length
-	c.spread = true
+// TakeTurns takes turns with other nodes from now on: this one's watches end at its own phase of a period that all share. Watches that
+// end on the same change would else go on in step, and all miss the next one.
+func (c *Core) TakeTurns(period, phase time.Duration) {
+	c.period, c.phase = period, phase
 }
 
-func (c *Core) watchFor() time.Duration {
-	if !c.spread {
+// watchFor is the time until this node's next turn, by a clock that nodes share well enough for that.
+func (c *Core) watchFor(clock time.Duration) time.Duration {
+	if c.period == 0 {
 		return c.settings.WatchFor
 	}
-	return time.Duration((shortestWatch + (1-shortestWatch)*c.random()) * float64(c.settings.WatchFor))
+	wait := c.period - (clock-c.phase)%c.period
+	if wait < shortestWatch {
+		wait += c.period
+	}
+	return wait
 }
 
 // Served reports whether the store answers this node: it did so of late, and not with trouble since.
 func (c *Core) Served(now time.Duration) bool {
-	return c.contactAt >= 0 && c.backoff == 0 && now-c.contactAt < c.settings.WatchFor+c.settings.GatherFor+c.settings.LongestBackoff
+	return c.contactAt >= 0 && c.backoff == 0 && now-c.contactAt < max(c.settings.WatchFor, c.period)+c.settings.GatherFor+c.settings.LongestBackoff
 }
 
 // Failed takes in that a call went wrong.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -1,6 +1,7 @@
 package follow_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 func listed(t *testing.T) *follow.Core {
 	t.Helper()
 	core := follow.New(settings, half)
-	if call := core.Next(); call.Kind != follow.List || call.After != "" {
+	if call := core.Next(0); call.Kind != follow.List || call.After != "" {
 		t.Fatalf("begins with %+v", call)
 	}
 	if !core.Page(0, "k", 7, false) {
@@ -29,17 +30,17 @@
 // TestListThenWatch: pages one after the other, then watches from the revision of the first page.
 func TestListThenWatch(t *testing.T) {
 	core := follow.New(settings, half)
-	core.Next()
+	core.Next(0)
 	if core.Page(0, "b", 7, true) {
 		t.Error("a first page with more behind it is no whole listing")
 	}
-	if call := core.Next(); call.Kind != follow.List || call.After != "b" {
+	if call := core.Next(0); call.Kind != follow.List || call.After != "b" {
 		t.Errorf("goes on with %+v", call)
 	}
 	if !core.Page(0, "d", 9, false) {
 		t.Error("the last page ends the listing")
 	}
-	if call := core.Next(); call.Kind != follow.Watch || call.Revision != 7 || call.For != settings.WatchFor {
+	if call := core.Next(0); call.Kind != follow.Watch || call.Revision != 7 || call.For != settings.WatchFor {
 		t.Errorf("goes on with %+v: changes between the pages would be missed", call)
 	}
 }
@@ -48,14 +49,14 @@
 func TestChangesAreGathered(t *testing.T) {
 	core := listed(t)
 	core.Changes(0, 9, 2)
-	if call := core.Next(); call.Kind != follow.Gather || call.For != settings.GatherFor {
+	if call := core.Next(0); call.Kind != follow.Gather || call.For != settings.GatherFor {
 		t.Errorf("after changes: %+v", call)
 	}
-	if call := core.Next(); call.Kind != follow.Watch || call.Revision != 9 {
+	if call := core.Next(0); call.Kind != follow.Watch || call.Revision != 9 {
 		t.Errorf("then: %+v", call)
 	}
 	core.Changes(0, 9, 0)
-	if call := core.Next(); call.Kind != follow.Watch {
+	if call := core.Next(0); call.Kind != follow.Watch {
 		t.Errorf("after silence: %+v", call)
 	}
 }
@@ -65,7 +66,7 @@
 	t.Run("the history is lost", func(t *testing.T) {
 		core := listed(t)
 		core.Failed(time.Second, follow.HistoryLost)
-		if call := core.Next(); call.Kind != follow.List || call.After != "" {
+		if call := core.Next(0); call.Kind != follow.List || call.After != "" {
 			t.Errorf("goes on with %+v", call)
 		}
 	})
@@ -74,26 +75,26 @@
 		want := []time.Duration{100, 200, 400, 800, 1000, 1000}
 		for _, milliseconds := range want {
 			core.Failed(time.Second, follow.Unavailable)
-			if call := core.Next(); call.Kind != follow.Pause || call.For != milliseconds*time.Millisecond {
+			if call := core.Next(0); call.Kind != follow.Pause || call.For != milliseconds*time.Millisecond {
 				t.Errorf("pauses %+v, want %d ms", call, milliseconds)
 			}
-			if call := core.Next(); call.Kind != follow.Watch || call.Revision != 7 {
+			if call := core.Next(0); call.Kind != follow.Watch || call.Revision != 7 {
 				t.Errorf("then %+v", call)
 			}
 		}
 		core.Changes(time.Second, 8, 0)
 		core.Failed(time.Second, follow.Throttled)
-		if call := core.Next(); call.For != settings.FirstBackoff {
+		if call := core.Next(0); call.For != settings.FirstBackoff {
 			t.Errorf("the pause does not begin anew after an answer: %+v", call)
 		}
 	})
 	t.Run("within a listing", func(t *testing.T) {
 		core := follow.New(settings, half)
-		core.Next()
+		core.Next(0)
 		core.Page(0, "b", 7, true)
 		core.Failed(0, follow.Unavailable)
-		core.Next()
-		if call := core.Next(); call.Kind != follow.List || call.After != "" {
+		core.Next(0)
+		if call := core.Next(0); call.Kind != follow.List || call.After != "" {
 			t.Errorf("goes on with %+v", call)
 		}
 	})
@@ -122,3 +123,24 @@
 		t.Errorf("the revision is %d", core.Revision())
 	}
 }
+
+// TestTurns: nodes that take turns look at the store one after the other, however their watches began.
+func TestTurns(t *testing.T) {
+	const nodes, gap = 5, 800 * time.Millisecond
+	var ends []time.Duration
+	for node := range nodes {
+		core := listed(t)
+		core.TakeTurns(nodes*gap, time.Duration(node)*gap)
+		clock := 10*time.Second + time.Duration(node)*37*time.Millisecond
+		for range 3 {
+			clock += core.Next(clock).For
+			ends = append(ends, clock)
+		}
+	}
+	slices.Sort(ends)
+	for i := 1; i < nodes*2; i++ {
+		if pause := ends[i] - ends[i-1]; pause > gap {
+			t.Errorf("nobody looks at the store for %v", pause)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/belief.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"stiletrail/internal/replica"
+)
+
+// States of back ends in Belief.
+const (
+	BackEndReady    = "ready"
+	BackEndDraining = "draining"
+	BackEndEjected  = "ejected"
+	BackEndDoubtful = "doubtful"
+)
+
+// Belief is what a gateway believes at a moment, for metrics.
+type Belief struct {
+	StoreRevision uint64
+	// StoreContactAge is the time since the store last answered, negative if it never did.
+	StoreContactAge time.Duration
+	// Nodes known, 0 while this one has not joined the others.
+	Nodes int
+	// BackEnds counts back ends by state.
+	BackEnds map[string]int
+}
+
+// Belief returns what the gateway believes now.
+func (g *Gateway) Belief() Belief {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	belief := Belief{
+		StoreRevision: g.view.Revision(), StoreContactAge: g.follower.ContactAge(now), Nodes: g.nodes, BackEnds: map[string]int{},
+	}
+	g.replicas.All(func(known *replica.Replica) { belief.BackEnds[stateOf(now, known)]++ })
+	return belief
+}
+
+func stateOf(now time.Duration, known *replica.Replica) string {
+	switch {
+	case known.Draining:
+		return BackEndDraining
+	case known.Doubtful():
+		return BackEndDoubtful
+	case known.Ejected(now):
+		return BackEndEjected
+	}
+	return BackEndReady
+}
+
+// Outcomes of requests, beside the codes of failures and the statuses of single back ends.
+const (
+	OutcomeGone     = "caller_gone"
+	OutcomePartial  = "partial"
+	OutcomeComplete = "complete"
+)
+
+// Outcome names how a request ended.
+func (r *Result) Outcome() string {
+	switch {
+	case r.Gone:
+		return OutcomeGone
+	case r.Failure != nil:
+		return string(r.Failure.Code)
+	case r.Missing > 0:
+		return OutcomePartial
+	case r.Passed != nil:
+		return strconv.Itoa(r.Passed.Status)
+	}
+	return OutcomeComplete
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,11 +74,13 @@
 	Linger time.Duration
 	// MaximumRequests bounds the requests under way.
 	MaximumRequests int
+	// Seed of random choices.
+	Seed uint64
 }
 
 // Gateway is one node's.
 type Gateway struct {
-	settings Settings
+	settings atomic.Pointer[Settings]
 	backEnds BackEnds
 	store    Store
 	journal  Journal
@@ -112,18 +114,31 @@
 
 // New returns a gateway that knows nothing yet. Run makes it follow the store.
 func New(settings Settings, backEnds BackEnds, store Store, journal Journal) *Gateway {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	random := rand.New(rand.NewPCG(settings.Seed, settings.Seed))
 	g := &Gateway{
-		settings: settings, backEnds: backEnds, store: store, journal: journal, started: time.Now(), givenUp: make(chan struct{}),
+		backEnds: backEnds, store: store, journal: journal, started: time.Now(), givenUp: make(chan struct{}),
 		starved:  make(chan struct{}, 1),
 		replicas: replica.NewSet(settings.Replica, settings.Places, random),
 		budgets:  map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
 		follower: follow.New(settings.Follow, random.Float64), listedKeys: map[string]bool{},
 	}
+	g.settings.Store(&settings)
 	g.view = spread.New(settings.Spread, g.somePeers)
 	return g
 }
 
+// Reconfigure puts other settings in force. Requests under way end with those that they began with.
+func (g *Gateway) Reconfigure(settings Settings) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.settings.Store(&settings)
+	g.replicas.Reconfigure(settings.Replica, settings.Places)
+	for _, budget := range g.budgets {
+		budget.SetShare(settings.RetryShare)
+	}
+	g.shareOut()
+}
+
 // now is the time since the start, on the monotonic clock.
 func (g *Gateway) now() time.Duration { return time.Since(g.started) }
 
@@ -158,7 +173,7 @@
 func (g *Gateway) budget(service string) *limit.SlidingBudget {
 	budget := g.budgets[service]
 	if budget == nil {
-		created := limit.NewSlidingBudget(g.settings.RetryShare, g.settings.RetryWindow)
+		created := limit.NewSlidingBudget(g.settings.Load().RetryShare, g.settings.Load().RetryWindow)
 		budget = &created
 		g.budgets[service] = budget
 	}
@@ -178,7 +193,7 @@
 
 // SpendHedge implements forward.World.
 func (w world) SpendHedge(service string) bool {
-	return w.gateway.budget(service).Spend(w.now, w.gateway.settings.HedgeReserve, w.gateway.retrySlack())
+	return w.gateway.budget(service).Spend(w.now, w.gateway.settings.Load().HedgeReserve, w.gateway.retrySlack())
 }
 
 // SpendRetry implements forward.World.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -213,7 +213,7 @@
 		loaded := settings.DefaultGateway()
 		loaded.Zone = "zone"
 		loaded.Regions = map[string]string{"zone": "a", "other": "b"}
-		s.gateway = gateway.New(gateway.FromSettings(loaded), s.backEnds, s.store, silentJournal{})
+		s.gateway = gateway.New(seeded(loaded, 1), s.backEnds, s.store, silentJournal{})
 		ctx, cancel := context.WithCancel(context.Background())
 		go s.gateway.Run(ctx)
 		synctest.Wait()
@@ -225,6 +225,13 @@
 	})
 }
 
+// seeded gives settings with a fixed seed, so that each run of a test is alike.
+func seeded(loaded settings.Gateway, seed uint64) gateway.Settings {
+	result := gateway.FromSettings(loaded)
+	result.Seed = seed
+	return result
+}
+
 func part(send gateway.Send) forward.Outcome {
 	return forward.Outcome{Kind: forward.Answered, Response: &forward.Response{Status: 200, Signature: send.Entry.ID}}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"stiletrail/internal/membership"
@@ -22,7 +23,7 @@
 func (g *Gateway) Join(self membership.Member, seeds []string, peers PeerTransport) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	random := rand.New(rand.NewPCG(g.settings.Load().Seed, self.Generation))
 	g.members = membership.New(g.now(), self, seeds, membership.DefaultSettings(), random)
 	g.peers = peers
 }
@@ -123,22 +124,33 @@
 	if g.nodes == 0 || table == nil {
 		return
 	}
-	if g.nodes > 1 {
-		g.follower.Spread(min(max(time.Duration(g.nodes)*g.settings.WatchPerNode, g.settings.Follow.WatchFor), g.settings.LongestWatch))
-	}
+	g.takeTurns()
 	connections := map[string]int{}
 	for _, service := range table.Services() {
 		if service.MaximumConnections > 0 {
-			connections[service.Name] = min(max(service.MaximumConnections/g.nodes, 1), g.settings.MostConnections)
+			connections[service.Name] = min(max(service.MaximumConnections/g.nodes, 1), g.settings.Load().MostConnections)
 		}
 	}
 	g.replicas.SetConnections(connections)
 }
 
+// takeTurns has the nodes look at the store one after the other: with each some time after the one before it, a change that the
+// watches of all have missed is found soon, and told.
+func (g *Gateway) takeTurns() {
+	if g.nodes < 2 {
+		return
+	}
+	members := g.members.Members()
+	rank := slices.IndexFunc(members, func(m membership.Member) bool { return m.Address == g.members.Self().Address })
+	settings := g.settings.Load()
+	period := min(max(time.Duration(g.nodes)*settings.WatchPerNode, settings.Follow.WatchFor), settings.LongestWatch)
+	g.follower.TakeTurns(period, time.Duration(rank)*period/time.Duration(g.nodes))
+}
+
 // retrySlack is this node's part of the extra attempts allowed beyond the share; half is left for nodes that are not known.
 func (g *Gateway) retrySlack() float64 {
 	if g.nodes == 0 {
 		return 0
 	}
-	return float64(g.settings.RetrySlack) / float64(2*g.nodes)
+	return float64(g.settings.Load().RetrySlack) / float64(2*g.nodes)
 }
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -74,7 +74,7 @@
 	loaded.Zone = "zone"
 	loaded.RetrySlack = 60
 	loaded.Regions = map[string]string{"zone": "a", "other": "b"}
-	g := gateway.New(gateway.FromSettings(loaded), c.backEnds, c.paths[number], silentJournal{})
+	g := gateway.New(seeded(loaded, uint64(number)+7), c.backEnds, c.paths[number], silentJournal{})
 	self := membership.Member{Address: address(number), Zone: "zone", Region: "a", Generation: uint64(number) + 1, Incarnation: uint64(time.Now().UnixMilli())}
 	g.Join(self, []string{address(0), address(1)}, end{c.network, address(number)})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,7 +52,7 @@
 	}
 	underWay := g.underWay.Add(1)
 	defer g.underWay.Add(-1)
-	if int(underWay) > g.settings.MaximumRequests {
+	if int(underWay) > g.settings.Load().MaximumRequests {
 		refusal := failure.Refused(failure.Overloaded, "too many requests under way", notReadyRetryAfter)
 		return Result{Answer: forward.Answer{Failure: refusal}, Version: table.Version(), Route: route}
 	}
@@ -145,7 +145,7 @@
 	if !r.call.Deadline.IsZero() {
 		parameters.Deadline = r.call.Deadline.Sub(g.started)
 	}
-	request, actions := forward.Start(now, parameters, g.settings.Forward, world{g, now})
+	request, actions := forward.Start(now, parameters, g.settings.Load().Forward, world{g, now})
 	r.request = request
 	r.deadline = g.at(request.Deadline())
 	r.carryOut(now, actions)
@@ -192,11 +192,11 @@
 // since an answer that is nearly there costs less than a new connection.
 func (r *run) cancel(attempt *forward.Attempt) {
 	cancel := r.cancels[attempt]
-	if r.gone || r.gateway.settings.Linger == 0 {
+	if r.gone || r.gateway.settings.Load().Linger == 0 {
 		cancel()
 		return
 	}
-	time.AfterFunc(r.gateway.settings.Linger, cancel)
+	time.AfterFunc(r.gateway.settings.Load().Linger, cancel)
 }
 
 func (g *Gateway) attemptEnded(attempt *forward.Attempt, outcome forward.Outcome, cancelled bool) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"stiletrail/internal/follow"
@@ -52,6 +53,6 @@
 		WatchPerNode: watchPerNode, LongestWatch: longestWatch, MostConnections: mostConnections, RetrySlack: s.RetrySlack,
 		Places:     replica.Places{Zone: s.Zone, Regions: s.Regions},
 		RetryShare: s.RetryShare * (1 - retryMargin), RetryWindow: s.RetryWindow, HedgeReserve: hedgeReserve,
-		Linger: linger, MaximumRequests: s.MaximumRequests,
+		Linger: linger, MaximumRequests: s.MaximumRequests, Seed: rand.Uint64(),
 	}
 }
--- /dev/null
+++ b/internal/gateway/simulation_test.go
@@ -0,0 +1,430 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"stiletrail/internal/forward"
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/membership"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+	"stiletrail/internal/settings"
+)
+
+// The simulated deployment.
+const (
+	simulatedNodes    = 4
+	simulatedReplicas = 3
+	simulatedLength   = 40 * time.Second
+	// retrySlack and retryShare are what the nodes are told; the checker counts against the same.
+	simulatedSlack = 40
+	simulatedShare = 0.2
+	drainTime      = 3 * time.Second
+	settleTime     = 6 * time.Second
+)
+
+// modelBackEnd is a back end of the simulation.
+type modelBackEnd struct {
+	entry replica.Entry
+	// slowness multiplies its work; pausedUntil, shedding, dark and losing are troubles that come and go.
+	slowness    int
+	pausedUntil time.Time
+	shedding    bool
+	dark        bool
+	losing      bool
+	// goneSince is when its entry went, zero while it is there.
+	goneSince time.Time
+}
+
+// span is a time from begin to end.
+type span struct{ begin, end time.Time }
+
+// arrival is a request that a back end received.
+type arrival struct {
+	at      time.Time
+	id      string
+	backEnd *modelBackEnd
+	ran     bool
+}
+
+// simulation is a whole deployment on a virtual clock, with a checker of what must hold.
+type simulation struct {
+	t        *testing.T
+	random   *rand.Rand
+	cluster  *cluster
+	began    time.Time
+	mutex    sync.Mutex
+	backEnds map[string]*modelBackEnd
+	arrivals []arrival
+	requests []time.Time
+	ends     map[string]gateway.Result
+	services int
+	version  uint64
+	// versions that each life of a node has had in force.
+	versions map[*gateway.Gateway]uint64
+	// outages of the store, each with the time after it in which a vanished entry proves nothing.
+	outages []span
+}
+
+func seeds() []uint64 {
+	if text := os.Getenv("SEED"); text != "" {
+		seed, _ := strconv.ParseUint(text, 10, 64)
+		return []uint64{seed}
+	}
+	count := 40
+	if number, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
+		count = number
+	}
+	all := make([]uint64, count)
+	for i := range all {
+		all[i] = uint64(i + 1)
+	}
+	return all
+}
+
+// TestRandomFaults plays random faults of the store, of nodes and of back ends, and checks what must hold at all times.
+// SEEDS is the number of seeds played, SEED plays one.
+func TestRandomFaults(t *testing.T) {
+	for _, seed := range seeds() {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { simulate(t, seed) })
+		})
+	}
+}
+
+func simulate(t *testing.T, seed uint64) {
+	s := &simulation{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), backEnds: map[string]*modelBackEnd{}, ends: map[string]gateway.Result{},
+		versions: map[*gateway.Gateway]uint64{}, began: time.Now(),
+	}
+	s.cluster = &cluster{
+		store: newStore(), network: &network{gateways: map[string]*gateway.Gateway{}, delay: 12 * time.Millisecond},
+		backEnds: &fakeBackEnds{answer: s.exchange}, gateways: make([]*gateway.Gateway, simulatedNodes),
+		contexts: make([]context.CancelFunc, simulatedNodes),
+	}
+	for i := range shards {
+		for number := range simulatedReplicas {
+			s.addBackEnd(fmt.Sprint("s", i), number)
+		}
+	}
+	s.configure()
+	for i := range simulatedNodes {
+		s.cluster.paths = append(s.cluster.paths, &cutStore{fakeStore: s.cluster.store})
+		s.startNode(i)
+	}
+	time.Sleep(6 * time.Second)
+	callers := sync.WaitGroup{}
+	for moment := time.Duration(0); moment < simulatedLength; moment += 10 * time.Millisecond {
+		if s.random.IntN(4) != 0 {
+			callers.Go(s.call())
+		}
+		if s.random.IntN(40) == 0 {
+			s.fault()
+		}
+		s.watchVersions()
+		time.Sleep(10 * time.Millisecond)
+	}
+	callers.Wait()
+	for _, cancel := range s.cluster.contexts {
+		cancel()
+	}
+	time.Sleep(20 * time.Second)
+	synctest.Wait()
+	s.check()
+}
+
+func (s *simulation) startNode(number int) {
+	loaded := settings.DefaultGateway()
+	loaded.Zone = fmt.Sprint("zone-", number%simulatedReplicas)
+	loaded.Regions = map[string]string{"zone-0": "r0", "zone-1": "r1", "zone-2": "r2"}
+	loaded.RetrySlack, loaded.RetryShare = simulatedSlack, simulatedShare
+	c := s.cluster
+	g := gateway.New(seeded(loaded, s.random.Uint64()), c.backEnds, c.paths[number], silentJournal{})
+	g.Join(membership.Member{
+		Address: address(number), Zone: loaded.Zone, Region: loaded.Regions[loaded.Zone], Generation: s.random.Uint64(),
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}, []string{address(0), address(1)}, end{c.network, address(number)})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.gateways[number], c.contexts[number] = g, cancel
+	c.network.gateways[address(number)] = g
+	go g.Run(ctx)
+}
+
+func (s *simulation) addBackEnd(service string, number int) {
+	s.services++
+	b := &modelBackEnd{slowness: 1, entry: replica.Entry{
+		ID: fmt.Sprint(service, "-", s.services), Service: service, Address: fmt.Sprint("127.0.0.1:", s.services),
+		Zone: fmt.Sprint("zone-", number%simulatedReplicas), Slots: 5,
+	}}
+	s.mutex.Lock()
+	s.backEnds[b.entry.ID] = b
+	s.mutex.Unlock()
+	entry := b.entry
+	s.cluster.store.put(gateway.Item{Key: "back ends/" + entry.ID, BackEnd: &entry})
+}
+
+// configure puts a new version in force: the same routes, the fan-out over another number of shards.
+func (s *simulation) configure() {
+	s.version++
+	item := configuration(s.version)
+	routes := item.Configuration.Routes
+	routes[0].Shards = routes[0].Shards[:shards-int(s.version%2)]
+	item.Configuration.Routes = append(routes, routing.Route{
+		Name: "once", Host: "h", Prefix: "/once/", Timeout: 4 * time.Second, TargetLatency: time.Second, MaximumAttempts: 2,
+		Targets: []routing.Target{{Service: "s0", Weight: 1}, {Service: "s1", Weight: 2}},
+	})
+	item.Configuration.Services = []routing.Service{{Name: "s0", MaximumConnections: 40}, {Name: "s1", MaximumConnections: 40}}
+	s.cluster.store.put(item)
+}
+
+// call sends one request to a random node.
+func (s *simulation) call() func() {
+	paths := []string{"/all/x", "/all/x", "/one/x", "/once/x"}
+	path := paths[s.random.IntN(len(paths))]
+	id := fmt.Sprint(len(s.requests))
+	s.requests = append(s.requests, time.Now())
+	node := s.cluster.gateways[s.random.IntN(simulatedNodes)]
+	return func() {
+		result := node.Serve(context.Background(), &gateway.Call{ID: id, Host: "h", Path: path})
+		s.mutex.Lock()
+		s.ends[id] = result
+		s.mutex.Unlock()
+	}
+}
+
+// exchange is what a back end does with an attempt.
+func (s *simulation) exchange(ctx context.Context, send gateway.Send) forward.Outcome {
+	s.mutex.Lock()
+	b := s.backEnds[send.Entry.ID]
+	fate, work := s.random.IntN(100), time.Duration(5+s.random.IntN(30))*time.Millisecond
+	if b == nil || b.dark {
+		s.mutex.Unlock()
+		return silence(ctx, 400*time.Millisecond, forward.NotSent)
+	}
+	refuses := b.shedding && fate < 60
+	s.arrivals = append(s.arrivals, arrival{time.Now(), send.Call.ID, b, !refuses})
+	losing, wait := b.losing && fate < 30, time.Until(b.pausedUntil)
+	work *= time.Duration(b.slowness)
+	s.mutex.Unlock()
+	if refuses {
+		return forward.Outcome{Kind: forward.Refused}
+	}
+	select {
+	case <-time.After(max(wait, 0) + work):
+	case <-time.After(time.Until(send.Deadline)):
+		return forward.Outcome{Kind: forward.Lost}
+	case <-ctx.Done():
+		return forward.Outcome{Kind: forward.Lost}
+	}
+	if losing {
+		return forward.Outcome{Kind: forward.Lost}
+	}
+	return part(send)
+}
+
+func silence(ctx context.Context, length time.Duration, kind forward.Kind) forward.Outcome {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+	return forward.Outcome{Kind: kind}
+}
+
+// fault brings a random trouble, which passes after some seconds.
+func (s *simulation) fault() {
+	b := s.anyBackEnd()
+	length := time.Duration(500+s.random.IntN(5000)) * time.Millisecond
+	pathNumber := s.random.IntN(simulatedNodes)
+	path := s.cluster.paths[pathNumber]
+	during := func(begin, finish func()) {
+		s.locked(begin)
+		time.AfterFunc(length, func() { s.locked(finish) })
+	}
+	switch s.random.IntN(10) {
+	case 0:
+		during(func() { b.slowness = 10 }, func() { b.slowness = 1 })
+	case 1:
+		s.locked(func() { b.pausedUntil = time.Now().Add(300 * time.Millisecond) })
+	case 2:
+		during(func() { b.shedding = true }, func() { b.shedding = false })
+	case 3:
+		during(func() { b.dark = true }, func() { b.dark = false })
+	case 4:
+		during(func() { b.losing = true }, func() { b.losing = false })
+	case 5:
+		s.configure()
+	case 6:
+		during(func() { path.cut = true }, func() { path.cut = false })
+	case 7:
+		s.outages = append(s.outages, span{time.Now(), time.Now().Add(length + settleTime)})
+		s.cluster.store.set(func(store *fakeStore) { store.err = errDown })
+		time.AfterFunc(length, func() { s.cluster.store.set(func(store *fakeStore) { store.err = nil }) })
+	case 8:
+		s.cluster.contexts[pathNumber]()
+		s.cluster.gateways[pathNumber].Leave()
+		s.startNode(pathNumber)
+	case 9:
+		s.leave(b)
+	}
+}
+
+func (s *simulation) locked(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+}
+
+func (s *simulation) anyBackEnd() *modelBackEnd {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for {
+		b := s.backEnds[fmt.Sprint("s", s.random.IntN(shards), "-", 1+s.random.IntN(s.services))]
+		if b != nil {
+			return b
+		}
+	}
+}
+
+// leave has a back end replaced: a new one starts, and the old one's entry goes.
+func (s *simulation) leave(b *modelBackEnd) {
+	if !b.goneSince.IsZero() {
+		return
+	}
+	s.addBackEnd(b.entry.Service, s.random.IntN(simulatedReplicas))
+	s.locked(func() { b.goneSince = time.Now() })
+	s.cluster.store.put(gateway.Item{Key: "back ends/" + b.entry.ID, Gone: true})
+}
+
+// watchVersions checks that no node goes back within one life, and that a change is in force where the store is well.
+func (s *simulation) watchVersions() {
+	for number, g := range s.cluster.gateways {
+		if version := g.Version(); version < s.versions[g] {
+			s.t.Errorf("%v: node %d went back from version %d to %d", time.Since(s.began), number, s.versions[g], version)
+		} else {
+			s.versions[g] = version
+		}
+	}
+}
+
+func (s *simulation) check() {
+	s.checkRuns()
+	s.checkDrains()
+	s.checkBudget()
+	for id, result := range s.ends {
+		if result.Elapsed > 4100*time.Millisecond {
+			s.t.Errorf("request %s was answered after %v", id, result.Elapsed)
+		}
+		if result.Failure == nil && result.Route.FansOut() {
+			s.checkCoverage(id, result)
+		}
+	}
+}
+
+// checkRuns: what was refused never ran, what can't be repeated ran once at most, and no shard was asked too often.
+func (s *simulation) checkRuns() {
+	runs := map[string]int{}
+	asked := map[[2]string]int{}
+	for _, a := range s.arrivals {
+		if a.ran {
+			runs[a.id]++
+		}
+		asked[[2]string{a.id, a.backEnd.entry.Service}]++
+	}
+	for id, result := range s.ends {
+		if result.Failure != nil && result.Failure.NotRun && runs[id] > 0 {
+			s.t.Errorf("request %s was refused as not run (%s) and ran %d times", id, result.Reason, runs[id])
+		}
+		if result.Route != nil && !result.Route.Repeatable && runs[id] > 1 {
+			s.t.Errorf("request %s can't be repeated and ran %d times", id, runs[id])
+		}
+	}
+	for key, count := range asked {
+		if count > 2 {
+			s.t.Errorf("request %s reached %d back ends of %s", key[0], count, key[1])
+		}
+	}
+}
+
+// checkDrains: a back end whose entry is gone gets nothing after its time to drain.
+func (s *simulation) checkDrains() {
+	for _, a := range s.arrivals {
+		gone := a.backEnd.goneSince
+		if !gone.IsZero() && a.at.After(gone.Add(drainTime)) && !s.inOutage(gone, a.at) {
+			s.t.Errorf("%s got a request %v after its entry went", a.backEnd.entry.ID, a.at.Sub(gone))
+		}
+	}
+}
+
+// inOutage reports whether the store was in trouble at any time from one moment to another.
+func (s *simulation) inOutage(from, until time.Time) bool {
+	for _, outage := range s.outages {
+		if outage.begin.Before(until) && outage.end.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkBudget: per service and window, arrivals beyond the first of each request stay within the share and the slack.
+func (s *simulation) checkBudget() {
+	const window = 10 * time.Second
+	seen := map[[2]string]bool{}
+	first := map[string][]time.Time{}
+	extra := map[string][]time.Time{}
+	for _, a := range s.arrivals {
+		service := a.backEnd.entry.Service
+		key := [2]string{a.id, service}
+		if seen[key] {
+			extra[service] = append(extra[service], a.at)
+		} else {
+			first[service] = append(first[service], a.at)
+		}
+		seen[key] = true
+	}
+	for service, times := range extra {
+		for _, last := range times {
+			extras := within(times, last.Add(-window), last)
+			requests := max(within(first[service], last.Add(-window), last), within(first[service], last.Add(-2*window), last.Add(-window)))
+			if float64(extras) > simulatedShare*float64(requests)+simulatedSlack {
+				s.t.Errorf("%s got %d extra arrivals for %d requests in a window", service, extras, requests)
+			}
+		}
+	}
+}
+
+func within(times []time.Time, after, until time.Time) int {
+	count := 0
+	for _, moment := range times {
+		if moment.After(after) && !moment.After(until) {
+			count++
+		}
+	}
+	return count
+}
+
+// checkCoverage: the parts, one of each shard, and those missing make up the shards of one version.
+func (s *simulation) checkCoverage(id string, result gateway.Result) {
+	total := shards - int(result.Version%2)
+	if result.Total != total || len(result.Signatures)+result.Missing != total {
+		s.t.Errorf("request %s: %d parts, %d missing, version %d has %d shards", id, len(result.Signatures), result.Missing, result.Version, total)
+	}
+	if float64(len(result.Signatures)) < 0.75*float64(total) {
+		s.t.Errorf("request %s: %d of %d parts are too few", id, len(result.Signatures), total)
+	}
+	parts := map[string]bool{}
+	for _, signature := range result.Signatures {
+		service := s.backEnds[signature].entry.Service
+		if parts[service] {
+			s.t.Errorf("request %s has two parts of %s", id, service)
+		}
+		parts[service] = true
+	}
+}
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -68,7 +68,7 @@
 	}
 	for ctx.Err() == nil {
 		g.mutex.Lock()
-		call := g.follower.Next()
+		call := g.follower.Next(time.Duration(time.Now().UnixNano()))
 		g.mutex.Unlock()
 		switch call.Kind {
 		case follow.Pause:
--- a/internal/limit/sliding.go
+++ b/internal/limit/sliding.go
@@ -21,6 +21,9 @@
 	return SlidingBudget{share: share, window: window}
 }
 
+// SetShare changes the share from now on.
+func (b *SlidingBudget) SetShare(share float64) { b.share = share }
+
 // Request counts requests in.
 func (b *SlidingBudget) Request(now time.Duration, count int) {
 	b.requests[b.bucket(now)] += count
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -53,6 +53,9 @@
 // Floor is the least that an answer of the replica takes: the way there and back.
 func (r *Replica) Floor() time.Duration { return r.floor }
 
+// Doubtful reports whether the replica's entry vanished while the store was unsettled.
+func (r *Replica) Doubtful() bool { return r.doubtful }
+
 // Ejected reports whether the replica is a last choice at the moment.
 func (r *Replica) Ejected(now time.Duration) bool { return now < r.ejectedUntil }
 
@@ -94,6 +97,9 @@
 	}
 }
 
+// Reconfigure changes how replicas are chosen from now on.
+func (s *Set) Reconfigure(settings Settings, places Places) { s.settings, s.places = settings, places }
+
 // SetConnections sets how many attempts this node may have under way at one back end, by service.
 func (s *Set) SetConnections(connections map[string]int) { s.connections = connections }
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -48,17 +48,17 @@
 // Server serves one node.
 type Server struct {
 	node        Node
-	callers     *http.Server
+	callers     *callerListener
 	others      []*http.Server
 	connections atomic.Int64
+	stopping    atomic.Bool
 	failed      chan error
 }
 
 // Start listens at all addresses.
 func Start(node Node, addresses Addresses, callers, metrics http.Handler) (*Server, error) {
 	s := &Server{node: node, failed: make(chan error, 3)}
-	s.callers = s.callerServer(callers)
-	if err := s.listen(addresses.Callers, s.callers); err != nil {
+	if err := s.listenForCallers(addresses.Callers, callers); err != nil {
 		return nil, err
 	}
 	if err := s.listenAside(addresses.Ready, http.HandlerFunc(s.serveReady)); err != nil {
@@ -73,31 +73,35 @@
 // Failed delivers the failure of a listener.
 func (s *Server) Failed() <-chan error { return s.failed }
 
-func (s *Server) callerServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		MaxHeaderBytes: defaultHeaderBytes, ConnState: s.count, DisableGeneralOptionsHandler: true,
+func (s *Server) listenForCallers(address string, handler http.Handler) error {
+	listener, err := listen(address)
+	if err != nil {
+		return err
 	}
+	s.callers = newCallerListener(listener, handler, s.count)
+	go func() {
+		if err := s.callers.accept(s.node.Limits); !s.stopping.Load() {
+			s.failed <- err
+		}
+	}()
+	return nil
 }
 
-// UseLimits applies the operator's limits to connections from now on. It is called before the node says that it is ready.
-func (s *Server) UseLimits(limits routing.Limits) {
-	if limits.IdleTimeout > 0 {
-		s.callers.IdleTimeout = limits.IdleTimeout
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.SettingsInvalid, "cannot listen at "+address)
 	}
+	return listener, nil
 }
 
 func (s *Server) listenAside(address string, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-	s.others = append(s.others, server)
-	return s.listen(address, server)
-}
-
-func (s *Server) listen(address string, server *http.Server) error {
-	listener, err := net.Listen("tcp4", address)
+	listener, err := listen(address)
 	if err != nil {
-		return failure.Wrap(err, failure.SettingsInvalid, "cannot listen at "+address)
+		return err
 	}
+	s.others = append(s.others, server)
 	go func() {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
 			s.failed <- failure.Wrap(err, failure.Internal, "the listener at "+address+" failed")
@@ -139,7 +143,8 @@
 	s.node.GiveUp()
 	bounded, cancel := context.WithTimeout(context.Background(), answerTime/2)
 	defer cancel()
-	_ = s.callers.Shutdown(bounded)
+	s.stopping.Store(true)
+	s.callers.shutdown(bounded)
 	for _, server := range s.others {
 		_ = server.Close()
 	}
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -1,8 +1,10 @@
 package serving_test
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -97,3 +99,48 @@
 		t.Error("started twice at the same addresses")
 	}
 }
+
+// TestLimitsFollowTheConfiguration: connections that come after the limits changed are bound by the new ones, and those there
+// are go on.
+func TestLimitsFollowTheConfiguration(t *testing.T) {
+	node := &limitedNode{}
+	node.limits.Store(&routing.Limits{HeaderBytes: 8 << 10})
+	addresses := serving.Addresses{Callers: freeAddress(t), Ready: freeAddress(t)}
+	hello := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) })
+	if _, err := serving.Start(node, addresses, hello, nil); err != nil {
+		t.Fatal(err)
+	}
+	status := func(client *http.Client, size int) int {
+		request, _ := http.NewRequest(http.MethodGet, "http://"+addresses.Callers, nil)
+		request.Header.Set("X-Long", strings.Repeat("x", size))
+		response, err := client.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	early := &http.Client{Transport: &http.Transport{}}
+	if got := status(early, 100); got != 200 {
+		t.Errorf("a short header is answered %d", got)
+	}
+	if got := status(&http.Client{Transport: &http.Transport{}}, 20<<10); got != 431 {
+		t.Errorf("a header over the limit is answered %d", got)
+	}
+	node.limits.Store(&routing.Limits{HeaderBytes: 32 << 10})
+	if got := status(&http.Client{Transport: &http.Transport{}}, 20<<10); got != 200 {
+		t.Errorf("a header within the new limit is answered %d", got)
+	}
+	if got := status(early, 100); got != 200 {
+		t.Errorf("a connection of before is answered %d", got)
+	}
+}
+
+// limitedNode states limits that change.
+type limitedNode struct {
+	fakeNode
+	limits atomic.Pointer[routing.Limits]
+}
+
+func (n *limitedNode) Limits() (routing.Limits, bool) { return *n.limits.Load(), true }
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,122 @@
+// Package telemetry counts what the gateway decides, and measures how long requests and attempts take.
+package telemetry
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"stiletrail/internal/forward"
+	"stiletrail/internal/gateway"
+)
+
+// latencyBuckets in seconds.
+var latencyBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.25, 0.35, 0.5, 0.75, 1, 2, 5, 15}
+
+// Source is what gauges are read from when they are asked for.
+type Source struct {
+	Gateway *gateway.Gateway
+	// BackEndConnections open now, and opened since the start.
+	BackEndConnections       func() int64
+	BackEndConnectionsOpened func() int64
+	LogLinesDropped          func() uint64
+}
+
+// Metrics wraps a Journal and counts what it is told.
+type Metrics struct {
+	gateway.Journal
+	set      *metrics.Set
+	request  *metrics.PrometheusHistogram
+	attempts map[forward.Purpose]*metrics.PrometheusHistogram
+}
+
+// New returns metrics that pass everything on to a journal.
+func New(journal gateway.Journal) *Metrics {
+	m := &Metrics{Journal: journal, set: metrics.NewSet(), attempts: map[forward.Purpose]*metrics.PrometheusHistogram{}}
+	m.request = m.set.NewPrometheusHistogramExt("stiletrail_request_seconds", latencyBuckets)
+	for _, purpose := range []forward.Purpose{forward.First, forward.Hedge, forward.Retry} {
+		name := fmt.Sprintf(`stiletrail_attempt_seconds{purpose=%q}`, purpose)
+		m.attempts[purpose] = m.set.NewPrometheusHistogramExt(name, latencyBuckets)
+	}
+	return m
+}
+
+func (m *Metrics) count(name, label, value string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{%s=%q}`, name, label, value)).Inc()
+}
+
+// Request implements gateway.Journal.
+func (m *Metrics) Request(call *gateway.Call, result *gateway.Result) {
+	m.request.Update(result.Elapsed.Seconds())
+	m.count("stiletrail_requests_total", "outcome", result.Outcome())
+	if result.Reason != "" {
+		m.count("stiletrail_request_ends_total", "reason", string(result.Reason))
+	}
+	m.set.GetOrCreateCounter("stiletrail_shards_missing_total").Add(result.Missing)
+	for _, attempt := range result.Attempts {
+		m.attempt(attempt)
+		if attempt.Outcome.Kind != forward.Answered && result.Denied != nil {
+			if denied := result.Denied(attempt); denied != "" {
+				m.count("stiletrail_extra_attempts_denied_total", "reason", string(denied))
+			}
+		}
+	}
+	m.Journal.Request(call, result)
+}
+
+func (m *Metrics) attempt(attempt *forward.Attempt) {
+	m.count("stiletrail_attempts_total", "purpose", string(attempt.Purpose))
+	m.count("stiletrail_attempt_ends_total", "outcome", attempt.Outcome.Kind.String())
+	if attempt.Outcome.Kind == forward.Answered {
+		m.attempts[attempt.Purpose].Update((attempt.EndedAt - attempt.StartedAt).Seconds())
+	}
+}
+
+// Ejected implements gateway.Journal.
+func (m *Metrics) Ejected(attempt *forward.Attempt, outcome forward.Outcome) {
+	m.count("stiletrail_ejections_total", "outcome", outcome.Kind.String())
+	m.Journal.Ejected(attempt, outcome)
+}
+
+// Rejected implements gateway.Journal.
+func (m *Metrics) Rejected(item *gateway.Item) {
+	m.set.GetOrCreateCounter("stiletrail_items_rejected_total").Inc()
+	m.Journal.Rejected(item)
+}
+
+// Learned implements gateway.Journal.
+func (m *Metrics) Learned(from string, records int, revision uint64) {
+	m.set.GetOrCreateCounter("stiletrail_learned_from_peers_total").Inc()
+	m.Journal.Learned(from, records, revision)
+}
+
+// Observe registers gauges that are read when metrics are asked for.
+func (m *Metrics) Observe(source Source) {
+	gauge := func(name string, read func() float64) { m.set.NewGauge(name, read) }
+	gauge("stiletrail_ready", func() float64 { return asNumber(source.Gateway.Ready()) })
+	gauge("stiletrail_requests_under_way", func() float64 { return float64(source.Gateway.UnderWay()) })
+	gauge("stiletrail_configuration_version", func() float64 { return float64(source.Gateway.Version()) })
+	gauge("stiletrail_store_contact_age_seconds", func() float64 { return source.Gateway.Belief().StoreContactAge.Seconds() })
+	gauge("stiletrail_store_revision", func() float64 { return float64(source.Gateway.Belief().StoreRevision) })
+	gauge("stiletrail_nodes", func() float64 { return float64(source.Gateway.Belief().Nodes) })
+	for _, state := range []string{gateway.BackEndReady, gateway.BackEndDraining, gateway.BackEndEjected, gateway.BackEndDoubtful} {
+		gauge(fmt.Sprintf(`stiletrail_back_ends{state=%q}`, state), func() float64 { return float64(source.Gateway.Belief().BackEnds[state]) })
+	}
+	gauge("stiletrail_back_end_connections", func() float64 { return float64(source.BackEndConnections()) })
+	gauge("stiletrail_back_end_connections_opened_total", func() float64 { return float64(source.BackEndConnectionsOpened()) })
+	gauge("stiletrail_log_lines_dropped_total", func() float64 { return float64(source.LogLinesDropped()) })
+}
+
+func asNumber(flag bool) float64 {
+	if flag {
+		return 1
+	}
+	return 0
+}
+
+// ServeHTTP implements http.Handler: the metrics as Prometheus text.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,60 @@
+package telemetry_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/settings"
+	"stiletrail/internal/telemetry"
+)
+
+// noted is a journal that counts requests.
+type noted struct {
+	gateway.Journal
+	requests int
+}
+
+// Request implements gateway.Journal.
+func (n *noted) Request(*gateway.Call, *gateway.Result) { n.requests++ }
+
+// TestMetrics: what is told is counted, measured, passed on, and served as text with what the gateway believes.
+func TestMetrics(t *testing.T) {
+	journal := &noted{}
+	measured := telemetry.New(journal)
+	node := gateway.New(gateway.FromSettings(settings.DefaultGateway()), nil, nil, measured)
+	measured.Observe(telemetry.Source{
+		Gateway: node, BackEndConnections: func() int64 { return 3 }, BackEndConnectionsOpened: func() int64 { return 9 },
+		LogLinesDropped: func() uint64 { return 2 },
+	})
+	attempt := &forward.Attempt{
+		Replica: &replica.Replica{}, Purpose: forward.Hedge, StartedAt: time.Second, EndedAt: 1100 * time.Millisecond,
+		Outcome: forward.Outcome{Kind: forward.Answered},
+	}
+	measured.Request(&gateway.Call{}, &gateway.Result{Attempts: []*forward.Attempt{attempt}, Elapsed: 30 * time.Millisecond})
+	measured.Request(&gateway.Call{}, &gateway.Result{Answer: forward.Answer{
+		Failure: failure.Refused(failure.Overloaded, "", 0), Reason: forward.AllRefused,
+	}})
+	recorder := httptest.NewRecorder()
+	measured.ServeHTTP(recorder, nil)
+	text := recorder.Body.String()
+	for _, want := range []string{
+		`stiletrail_requests_total{outcome="complete"} 1`, `stiletrail_requests_total{outcome="OVERLOADED"} 1`,
+		`stiletrail_request_ends_total{reason="all_refused"} 1`, `stiletrail_attempts_total{purpose="hedge"} 1`,
+		`stiletrail_attempt_seconds_count{purpose="hedge"} 1`, `stiletrail_request_seconds_count 2`,
+		`stiletrail_ready 0`, `stiletrail_back_end_connections 3`, `stiletrail_log_lines_dropped_total 2`,
+		`stiletrail_back_ends{state="ready"} 0`, `process_resident_memory_bytes`,
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in\n%s", want, text)
+		}
+	}
+	if journal.requests != 2 {
+		t.Errorf("%d requests were passed on", journal.requests)
+	}
+}
--- /dev/null
+++ b/test/gateway_test.go
@@ -0,0 +1,207 @@
+package test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"stiletrail/platform/standin"
+)
+
+// output collects what a process writes.
+type output struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(data []byte) (int, error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.text.Write(data)
+}
+
+func (o *output) contains(text string) func() bool {
+	return func() bool {
+		o.mutex.Lock()
+		defer o.mutex.Unlock()
+		return strings.Contains(o.text.String(), text)
+	}
+}
+
+// gatewayProcess is a gateway as a process of its own, with stand-ins of the store and of two shards.
+type gatewayProcess struct {
+	t        *testing.T
+	store    *standin.Store
+	backEnds []*standin.BackEnd
+	command  *exec.Cmd
+	settings string
+	text     string
+	callers  string
+	ready    string
+	metrics  string
+	logged   *output
+}
+
+func localAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func startGateway(t *testing.T) *gatewayProcess {
+	t.Helper()
+	directory := t.TempDir()
+	program := filepath.Join(directory, "stiletrail-gateway")
+	if built, err := exec.Command("go", "build", "-o", program, "stiletrail/cmd/stiletrail-gateway").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, built)
+	}
+	p := &gatewayProcess{
+		t: t, store: standin.NewStore(), settings: filepath.Join(directory, "settings.yaml"), logged: &output{},
+		callers: localAddress(t), ready: localAddress(t), metrics: localAddress(t),
+	}
+	server := httptest.NewServer(p.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	var shards []string
+	for i := range 2 {
+		backEnd := standin.NewBackEnd(fmt.Sprint("back-end-", i), fmt.Sprint("shard-", i), "0123456789abcdef")
+		t.Cleanup(backEnd.Close)
+		p.backEnds = append(p.backEnds, backEnd)
+		shards = append(shards, backEnd.Service)
+		p.store.Put("servers/"+backEnd.ID, backEnd.Entry("zone-a", "ready"))
+	}
+	p.store.Put("op/config", map[string]any{"Version": 1, "Routes": []any{map[string]any{
+		"Name": "all", "Host": "search.example", "PathPrefix": "/", "Type": "idempotent", "TimeoutMs": 4000, "TargetLatencyMs": 500,
+		"MaxAttempts": 2, "FanoutServices": shards, "TopK": 2, "MinShardRatio": 0.5,
+	}}})
+	p.text = fmt.Sprintf("node: n1\ncaller_address: %q\nready_address: %q\nmetrics_address: %q\npeer_address: %q\nstore_address: %q\n"+
+		"zone: zone-a\nregions: [zone-a=region-a]\nstop_within: 20s\n",
+		p.callers, p.ready, p.metrics, localAddress(t), strings.TrimPrefix(server.URL, "http://"))
+	p.write("")
+	p.command = exec.Command(program, "--settings", p.settings)
+	p.command.Stdout, p.command.Stderr = p.logged, p.logged
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.command.Process.Kill()
+		_, _ = p.command.Process.Wait()
+	})
+	p.eventually("the gateway is ready", func() bool { return p.status(p.ready) == http.StatusOK })
+	return p
+}
+
+// write lays the settings file, with more lines at its end.
+func (p *gatewayProcess) write(more string) {
+	if err := os.WriteFile(p.settings, []byte(p.text+more), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *gatewayProcess) eventually(what string, holds func() bool) {
+	p.t.Helper()
+	for range 3000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.t.Fatalf("never: %s; logged: %s", what, p.logged.text.String())
+}
+
+// status of a request to an address of the process, 0 where there was no answer.
+func (p *gatewayProcess) status(address string) int {
+	request, _ := http.NewRequest(http.MethodGet, "http://"+address+"/x", nil)
+	request.Host = "search.example"
+	request.Header.Set("Request-Id", "some-id")
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestGatewayProcess: a gateway as a process serves, tells its metrics, takes changed settings with and without a signal, and
+// stops as planned while a request is under way.
+func TestGatewayProcess(t *testing.T) {
+	p := startGateway(t)
+	if got := p.status(p.callers); got != http.StatusOK {
+		t.Errorf("a search is answered %d", got)
+	}
+	if got := p.status(p.metrics); got != http.StatusOK {
+		t.Errorf("metrics are answered %d", got)
+	}
+	p.write("hedge_share: 0.3\n")
+	p.eventually("the changed file is taken without a signal", p.logged.contains(`"HedgeShare":0.3`))
+	p.write("hedge_share: 7\n")
+	_ = p.command.Process.Signal(syscall.SIGHUP)
+	p.eventually("a wrong file is rejected", p.logged.contains("found \\\"7\\\", allowed is 0 to 1"))
+	if got := p.status(p.callers); got != http.StatusOK {
+		t.Errorf("a search after a wrong file is answered %d", got)
+	}
+	p.stopWhileUnderWay()
+}
+
+// stopWhileUnderWay stops the process with a request held at a back end, and expects that request to be answered.
+func (p *gatewayProcess) stopWhileUnderWay() {
+	release := make(chan struct{})
+	before := len(p.backEnds[0].Arrivals())
+	for _, backEnd := range p.backEnds {
+		whole := backEnd.Answer
+		backEnd.Answer = func(arrival standin.Arrival) standin.Reply {
+			reply := whole(arrival)
+			reply.Hold = release
+			return reply
+		}
+	}
+	statuses := make(chan int)
+	go func() { statuses <- p.status(p.callers) }()
+	p.eventually("the request is at the back end", func() bool { return len(p.backEnds[0].Arrivals()) > before })
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	p.eventually("the process is not ready", func() bool { return p.status(p.ready) == http.StatusServiceUnavailable })
+	close(release)
+	if got := <-statuses; got != http.StatusOK {
+		p.t.Errorf("the request under way is answered %d", got)
+	}
+	state, err := p.command.Process.Wait()
+	if err != nil || state.ExitCode() != 0 {
+		p.t.Errorf("ended with %v, %v", state, err)
+	}
+}
+
+// TestGatewaySettings: all faults of a settings file are told at once, and the exit code says so.
+func TestGatewaySettings(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(file, []byte("node: n\nzone: \"a b\"\nready_address: nowhere\nwhat: 1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	told, err := exec.Command("go", "run", "stiletrail/cmd/stiletrail-gateway", "--settings", file, "--check").CombinedOutput()
+	if err == nil {
+		t.Error("a wrong file is taken")
+	}
+	for _, want := range []string{"zone: found", "ready_address: found", "caller_address: found nothing", "store_address: found nothing", "what: found an unknown field", "exit status 2"} {
+		if !strings.Contains(string(told), want) {
+			t.Errorf("%q is missing in %s", want, told)
+		}
+	}
+}
