--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -37,6 +37,9 @@
 	// FirstBackoff and LongestBackoff bound the pause after trouble.
 	FirstBackoff   time.Duration
 	LongestBackoff time.Duration
+	// FirstTimeout and LongestTimeout bound the wait for the answer to a listing.
+	FirstTimeout   time.Duration
+	LongestTimeout time.Duration
 }
 
 // Kind of a Call.
@@ -60,8 +63,13 @@
 	After    string
 	Revision uint64
 	For      time.Duration
+	// Timeout of a listing.
+	Timeout time.Duration
 }
 
+// mostFailures in a row make a difference.
+const mostFailures = 10
+
 // shortestWatch is worth a call.
 const shortestWatch = 200 * time.Millisecond
 
@@ -82,6 +90,7 @@
 	pause    time.Duration
 	gather   bool
 	backoff  time.Duration
+	failures int
 	// troubledAt is when the store was last in trouble, or a listing began anew; -1 for never.
 	troubledAt time.Duration
 	// contactAt is when the store last answered; -1 for never.
@@ -123,7 +132,7 @@
 		return call
 	}
 	if !c.listed || c.listing {
-		return Call{Kind: List, After: c.after}
+		return Call{Kind: List, After: c.after, Timeout: c.listTimeout()}
 	}
 	return Call{Kind: Watch, Revision: c.revision, For: c.watchFor(clock)}
 }
@@ -164,6 +173,16 @@
 	}
 }
 
+// listTimeout is short at first, so that a call that a store in trouble will never answer is soon made again, and longer with
+// each failure, so that a slow store gets its time.
+func (c *Core) listTimeout() time.Duration {
+	timeout := c.settings.FirstTimeout
+	for range c.failures {
+		timeout = min(2*timeout, c.settings.LongestTimeout)
+	}
+	return timeout
+}
+
 // TakeTurns takes turns with other nodes from now on: this one's watches end at its own phase of a period that all share. Watches that
 // end on the same change would else go on in step, and all miss the next one.
 func (c *Core) TakeTurns(period, phase time.Duration) {
@@ -195,6 +214,7 @@
 		c.relist()
 		return
 	}
+	c.failures = min(c.failures+1, mostFailures)
 	if c.backoff == 0 {
 		c.backoff = c.settings.FirstBackoff
 	} else {
@@ -216,4 +236,5 @@
 func (c *Core) answered(now time.Duration) {
 	c.contactAt = now
 	c.backoff = 0
+	c.failures = 0
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -11,6 +11,7 @@
 var settings = follow.Settings{
 	WatchFor: 2 * time.Second, GatherFor: time.Second, SettleFor: 5 * time.Second,
 	FirstBackoff: 100 * time.Millisecond, LongestBackoff: time.Second,
+	FirstTimeout: time.Second, LongestTimeout: 4 * time.Second,
 }
 
 func half() float64 { return 0.5 }
@@ -144,3 +145,23 @@
 		}
 	}
 }
+
+// TestListTimeout: a listing that is not answered is soon made again, with more time each time; an answer begins anew.
+func TestListTimeout(t *testing.T) {
+	core := follow.New(settings, half)
+	for _, want := range []time.Duration{1, 2, 4, 4, 4} {
+		call := core.Next(0)
+		if call.Kind == follow.Pause {
+			call = core.Next(0)
+		}
+		if call.Kind != follow.List || call.Timeout != want*time.Second {
+			t.Errorf("%+v, want a timeout of %d s", call, want)
+		}
+		core.Failed(0, follow.Unavailable)
+	}
+	core.Next(0)
+	core.Page(0, "k", 1, true)
+	if call := core.Next(0); call.Timeout != time.Second {
+		t.Errorf("%+v after an answer", call)
+	}
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,6 +26,8 @@
 	settleFor      = 5 * time.Second
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = time.Second
+	firstTimeout   = 700 * time.Millisecond
+	longestTimeout = 4 * time.Second
 	digestInterval = time.Second
 	digestFanout   = 3
 	peerPatience   = time.Second
@@ -48,6 +50,7 @@
 		},
 		Follow: follow.Settings{
 			WatchFor: watchFor, GatherFor: gatherFor, SettleFor: settleFor, FirstBackoff: firstBackoff, LongestBackoff: longestBackoff,
+			FirstTimeout: firstTimeout, LongestTimeout: longestTimeout,
 		},
 		Spread:       spread.Settings{Interval: digestInterval, Fanout: digestFanout, Patience: peerPatience, KeepGone: keepGone},
 		WatchPerNode: watchPerNode, LongestWatch: longestWatch, MostConnections: mostConnections, RetrySlack: s.RetrySlack,
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -49,8 +49,7 @@
 
 // Bounds of a call to the store.
 const (
-	listTimeout = 3 * time.Second
-	watchSlack  = 1500 * time.Millisecond
+	watchSlack = 1500 * time.Millisecond
 	// expireInterval is how often vanished entries and idle connections are looked through.
 	expireInterval = time.Second
 	// massShare of the back ends vanishing within one call is taken for trouble of the store, not for back ends leaving.
@@ -105,7 +104,7 @@
 }
 
 func (g *Gateway) list(ctx context.Context, call follow.Call) {
-	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	bounded, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	page, err := g.store.List(bounded, call.After)
 	if err != nil {
