--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -26,8 +26,13 @@
 	Gone bool
 }
 
-// notReadyRetryAfter is when to come back to a node that has no configuration yet.
-const notReadyRetryAfter = 500 * time.Millisecond
+// When to come back to a node that has no configuration yet: soon while it is reading it for the first time, later once that
+// has taken long.
+const (
+	startingRetryAfter = 150 * time.Millisecond
+	notReadyRetryAfter = 500 * time.Millisecond
+	startingTime       = time.Second
+)
 
 // Serve runs a call to its answer. The context ends when the caller leaves.
 func (g *Gateway) Serve(ctx context.Context, call *Call) Result {
@@ -42,7 +47,11 @@
 func (g *Gateway) admit(ctx context.Context, call *Call, arrived time.Duration) Result {
 	table := g.table.Load()
 	if table == nil {
-		refusal := failure.Refused(failure.NotReady, "the node has no configuration yet", notReadyRetryAfter)
+		retryAfter := notReadyRetryAfter
+		if arrived < startingTime {
+			retryAfter = startingRetryAfter
+		}
+		refusal := failure.Refused(failure.NotReady, "the node has no configuration yet", retryAfter)
 		return Result{Answer: forward.Answer{Failure: refusal}}
 	}
 	route := table.Match(call.Host, call.Path)
