--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -38,8 +38,13 @@
 // garbageTarget is the growth of the heap in percent at which garbage is collected: memory is dearer here than processor time.
 const garbageTarget = 40
 
-// logCloseTime bounds the writing of the last lines.
-const logCloseTime = 100 * time.Millisecond
+// Bounds of the end of the process.
+const (
+	// logCloseTime is for the writing of the last lines.
+	logCloseTime = 100 * time.Millisecond
+	// peerCloseTime is for connections to other nodes; a peer that does not answer must not hold up the end.
+	peerCloseTime = 50 * time.Millisecond
+)
 
 func main() {
 	app := kingpin.New("stiletrail-gateway", "A node of the stiletrail query tier on a platform. SIGTERM is a planned stop, SIGHUP reads the settings again.")
@@ -107,7 +112,18 @@
 	}
 	node.Join(self, loaded.Seeds, peers)
 	peers.Serve(node)
-	return peers.Close, nil
+	closeSoon := func() {
+		closed := make(chan struct{})
+		go func() {
+			peers.Close()
+			close(closed)
+		}()
+		select {
+		case <-closed:
+		case <-time.After(peerCloseTime):
+		}
+	}
+	return closeSoon, nil
 }
 
 // wait handles signals until the node stops.
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -35,8 +35,10 @@
 const (
 	// noticeTime is how long after a stop began requests still come, sent by those that have not noticed.
 	noticeTime = 2500 * time.Millisecond
-	// answerTime is kept at the end of a stop for the last answers.
-	answerTime = 600 * time.Millisecond
+	// lastPart of a stop's time is kept for the last answers and the end of the process: what still runs then is given up.
+	lastPart = 6
+	// shutdownTime bounds the writing of the last answers.
+	shutdownTime = 300 * time.Millisecond
 	// checkInterval is the pause between looks whether a stop may end.
 	checkInterval = 50 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration states others.
@@ -133,7 +135,7 @@
 func (s *Server) Stop(within time.Duration) bool {
 	started := time.Now()
 	s.node.Leave()
-	for elapsed := time.Duration(0); elapsed < within-answerTime; elapsed = time.Since(started) {
+	for elapsed := time.Duration(0); elapsed < within-within/lastPart; elapsed = time.Since(started) {
 		if elapsed > noticeTime && s.node.UnderWay() == 0 && s.Connections() == 0 {
 			break
 		}
@@ -141,7 +143,7 @@
 	}
 	whole := s.node.UnderWay() == 0
 	s.node.GiveUp()
-	bounded, cancel := context.WithTimeout(context.Background(), answerTime/2)
+	bounded, cancel := context.WithTimeout(context.Background(), shutdownTime)
 	defer cancel()
 	s.stopping.Store(true)
 	s.callers.shutdown(bounded)
