stiletrail explain: from a request's id to its cause, with the logs of nodes alone

Each line now names its node. Patience with a peer that is ahead begins anew when news arrives (TestPatienceBeginsAnew failed first: a node asked a peer 0.2 s after it was found ahead).

--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -70,7 +70,7 @@
 	writer := decisionlog.NewWriter(os.Stdout)
 	defer writer.Close(logCloseTime)
 	level, _ := logrus.ParseLevel(loaded.LogLevel)
-	log := decisionlog.New(writer, level)
+	log := decisionlog.New(writer, level, loaded.Node)
 	pool := exchange.NewPool()
 	measured := telemetry.New(log)
 	store := platform.NewStoreClient(loaded.StoreAddress)
--- a/cmd/stiletrail/main.go
+++ b/cmd/stiletrail/main.go
@@ -64,6 +64,7 @@
 	addSearch(app, commands)
 	addExecute(app, commands)
 	addCheckSettings(app, commands)
+	addExplain(app, commands)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "stiletrail: %s, try --help\n", err)
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -34,6 +34,7 @@
 	fieldAge      = "age_ms"
 	fieldDropped  = "lines_dropped"
 	fieldNode     = "node"
+	fieldPeer     = "peer"
 )
 
 // Events of the lines.
@@ -60,20 +61,20 @@
 
 // Log implements gateway.Journal.
 type Log struct {
-	log     *logrus.Logger
+	log     *logrus.Entry
 	writer  *Writer
 	rate    rate
 	lost    lostStore
 	ordinal ordinal
 }
 
-// New returns a log that writes to the given writer.
-func New(writer *Writer, level logrus.Level) *Log {
+// New returns the log of a node that writes to the given writer.
+func New(writer *Writer, level logrus.Level, node string) *Log {
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00", DisableHTMLEscape: true})
 	log.SetOutput(writer)
 	log.SetLevel(level)
-	return &Log{log: log, writer: writer}
+	return &Log{log: log.WithField(fieldNode, node), writer: writer}
 }
 
 // Lifecycle writes a line at start, stop and reload.
@@ -216,11 +217,11 @@
 // Learned implements gateway.Journal.
 func (l *Log) Learned(from string, records int, revision uint64) {
 	l.log.WithFields(logrus.Fields{
-		fieldEvent: EventLearned, fieldNode: from, "items": records, fieldRevision: revision,
+		fieldEvent: EventLearned, fieldPeer: from, "items": records, fieldRevision: revision,
 	}).Info(EventLearned)
 }
 
 // PeerMalformed implements gateway.Journal.
 func (l *Log) PeerMalformed(remote string, err error) {
-	l.log.WithFields(logrus.Fields{fieldEvent: EventPeerMalformed, fieldNode: remote, fieldReason: err.Error()}).Warn(EventPeerMalformed)
+	l.log.WithFields(logrus.Fields{fieldEvent: EventPeerMalformed, fieldPeer: remote, fieldReason: err.Error()}).Warn(EventPeerMalformed)
 }
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -62,7 +62,7 @@
 func logged(write func(*decisionlog.Log)) []string {
 	output := &collected{}
 	writer := decisionlog.NewWriter(output)
-	write(decisionlog.New(writer, logrus.InfoLevel))
+	write(decisionlog.New(writer, logrus.InfoLevel, "node-1"))
 	writer.Close(time.Minute)
 	return strings.Split(strings.TrimSpace(output.text.String()), "\n")
 }
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -114,6 +114,8 @@
 		return nil
 	}
 	c.revision = revision
+	// Whatever brought this news may bring the rest: patience with it begins anew.
+	c.ahead = ""
 	return c.digest(c.settings.Fanout)
 }
 
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -143,6 +143,21 @@
 	}
 }
 
+// TestPatienceBeginsAnew: a node whose own watch brings news in steps is not taken for one that misses changes.
+func TestPatienceBeginsAnew(t *testing.T) {
+	core := spread.New(settings, func(int) []string { return []string{"peer"} })
+	core.Known(1)
+	core.Receive(0, "peer", &message.StoreDigest{Revision: 5}, true)
+	core.Known(3)
+	core.Receive(900*time.Millisecond, "peer", &message.StoreDigest{Revision: 7}, true)
+	if sends := requests(core.Tick(1100*time.Millisecond, true)); sends != 0 {
+		t.Error("asked 0.2 s after the peer was found ahead of what the watch has brought")
+	}
+	if sends := requests(core.Tick(2*time.Second, true)); sends != 1 {
+		t.Error("did not ask after the patience was over")
+	}
+}
+
 func requests(sends []spread.Send) int {
 	count := 0
 	for _, send := range sends {
