--- /dev/null
+++ b/internal/mutation/gateway_test.go
@@ -0,0 +1,97 @@
+//go:build prove
+
+package mutation
+
+// gatewayMutations take out guards of the node that asks back ends itself.
+var gatewayMutations = []mutation{
+	{
+		"a lost attempt of the gateway counts as not run", "internal/forward/forward.go",
+		"return k == Refused || k == Misdirected ||", "return k == Lost || k == Refused || k == Misdirected ||",
+		"./internal/gateway", "TestRandomFaults",
+	},
+	{
+		"a request that is not repeatable goes out again without proof", "internal/forward/attempts.go",
+		"if !r.route.Repeatable && !kind.NotRun() {", "if false {",
+		"./internal/gateway", "TestRandomFaults",
+	},
+	{
+		"a request that is not repeatable is hedged", "internal/forward/attempts.go",
+		"r.settings.HedgeShare > 0 && r.route.Repeatable &&", "r.settings.HedgeShare > 0 &&",
+		"./internal/gateway", "TestRandomFaults",
+	},
+	{
+		"hedges beyond the attempts allowed", "internal/forward/attempts.go",
+		"s.live == 1 && s.sent < r.route.MaximumAttempts", "s.live == 1",
+		"./internal/forward", "TestNeverMoreAttemptsThanAllowed",
+	},
+	{
+		"no bound on extra attempts", "internal/limit/sliding.go",
+		"if float64(sum(b.extras)+1) > (1-keptBack)*(b.share*float64(sum(b.requests))+slack) {", "if false {",
+		"./internal/gateway", "TestRandomFaults",
+	},
+	{
+		"draining back ends are picked", "internal/replica/pick.go",
+		"return !r.Draining && !r.misdirected", "return !r.misdirected",
+		"./internal/replica", "TestNeverPicked",
+	},
+	{
+		"vanished entries are used for ever", "internal/replica/replica.go",
+		"	if settled {\n		s.forget(known)\n		return true\n	}\n", "",
+		"./internal/replica", "TestVanished",
+	},
+	{
+		"an entry that lapsed in an outage is gone at once", "internal/replica/replica.go",
+		"	if settled {\n		s.forget(known)", "	if true {\n		s.forget(known)",
+		"./internal/gateway", "TestLapsedEntries",
+	},
+	{
+		"an older configuration is put in force", "internal/gateway/store.go",
+		"if current != nil && item.Configuration.Version <= current.Version() {", "if false {",
+		"./platform", "TestConfigurationIsTaken",
+	},
+	{
+		"older records replace newer ones", "internal/spread/spread.go",
+		"if found && record.Revision <= known.Revision {", "if false {",
+		"./internal/spread", "TestConverge",
+	},
+	{
+		"an answer to an earlier life counts as complete", "internal/spread/spread.go",
+		"if m.Whole || m.Since <= c.revision {", "if true {",
+		"./internal/spread", "TestConverge",
+	},
+	{
+		"a node does not ask peers that know more", "internal/spread/spread.go",
+		"return []Send{{peer, &message.StoreRequest{Revision: c.revision}}}", "return []Send{{peer, &message.StoreDigest{}}}",
+		"./internal/gateway", "TestNodeThatTheStoreRefuses",
+	},
+	{
+		"bytes after an answer are kept", "internal/exchange/exchange.go",
+		"!lengthKnown || response.Close || c.reader.Buffered() > 0", "!lengthKnown || response.Close",
+		"./platform", "TestSurplusBytesBelongToNoRequest",
+	},
+	{
+		"the id of an answer is not compared", "platform/backend.go",
+		"return id == send.Call.ID", "return true",
+		"./platform", "TestAnswersOfOneBackEnd",
+	},
+	{
+		"what follows chunks is read", "platform/ingress.go",
+		"i.gateway.Leaving() || len(r.TransferEncoding) > 0", "i.gateway.Leaving()",
+		"./platform", "TestNoSmuggling",
+	},
+	{
+		"a partial answer says nothing of what is missing", "internal/forward/answer.go",
+		"Missing: len(r.shards) - r.answered, Reason: reason}", "Reason: reason}",
+		"./internal/gateway", "TestRandomFaults",
+	},
+	{
+		"parts that are not signed count", "internal/forward/forward.go",
+		"(!r.route.FansOut() || outcome.Response.Signature != \"\")", "true",
+		"./internal/forward", "TestFinish",
+	},
+	{
+		"a request is sent though too few shards are known", "internal/forward/forward.go",
+		"if open, _ := r.open(); open >= r.required() {", "if true {",
+		"./platform", "TestRefusedBeforeAnythingIsSent",
+	},
+}
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -159,7 +160,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, m := range mutations {
+	for _, m := range append(slices.Clone(mutations), gatewayMutations...) {
 		t.Run(strings.ReplaceAll(m.name, " ", "-"), func(t *testing.T) {
 			prove(t, root, m)
 		})
