--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -79,7 +79,7 @@
 		Gateway: node, BackEndConnections: pool.Open.Load, BackEndConnectionsOpened: pool.Opened.Load, LogLinesDropped: writer.Dropped,
 	})
 	addresses := serving.Addresses{Callers: loaded.CallerAddress, Ready: loaded.ReadyAddress, Metrics: loaded.MetricsAddress}
-	server, err := serving.Start(node, addresses, platform.NewIngress(node), measured)
+	server, err := serving.Start(node, addresses, platform.NewIngress(node), measured, log)
 	if err != nil {
 		log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": err.Error()})
 		return exitFailed
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -32,7 +32,6 @@
 	fieldTotal    = "total"
 	fieldElapsed  = "elapsed_ms"
 	fieldAge      = "age_ms"
-	fieldDropped  = "lines_dropped"
 	fieldNode     = "node"
 	fieldPeer     = "peer"
 )
@@ -52,9 +51,9 @@
 	EventMembers        = "members"
 	EventLearned        = "learned_from_peer"
 	EventPeerMalformed  = "peer_malformed"
+	EventFault          = "fault"
 	EventStoreLost      = "store_lost"
 	EventStoreRegained  = "store_regained"
-	EventLinesDropped   = "lines_dropped"
 	requestsPerSecond   = 200
 	ordinarySampleEvery = 20
 )
@@ -225,3 +224,14 @@
 func (l *Log) PeerMalformed(remote string, err error) {
 	l.log.WithFields(logrus.Fields{fieldEvent: EventPeerMalformed, fieldPeer: remote, fieldReason: err.Error()}).Warn(EventPeerMalformed)
 }
+
+// Fault implements gateway.Journal.
+func (l *Log) Fault(text string) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventFault, fieldReason: text}).Error(EventFault)
+}
+
+// Write implements io.Writer for what libraries log, such as net/http of a handler that failed.
+func (l *Log) Write(text []byte) (int, error) {
+	l.Fault(strings.TrimSpace(string(text)))
+	return len(text), nil
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return Result{Stage: c.stage(), Err: failure.Wrap(err, failure.OutcomeUnknown, "no answer")}, false
 	}
-	body, err := readBody(response, request.MaximumBody)
+	body, err := readBody(message, response, request.MaximumBody)
 	if err != nil {
 		return Result{Stage: c.stage(), Err: failure.Wrap(err, failure.OutcomeUnknown, "the answer broke off")}, false
 	}
@@ -185,7 +185,10 @@
 
 var errTooLarge = errors.New("the answer is larger than allowed")
 
-func readBody(response *http.Response, maximum int64) ([]byte, error) {
+func readBody(message *http.Request, response *http.Response, maximum int64) ([]byte, error) {
+	if message.Method == http.MethodHead {
+		return nil, nil
+	}
 	if response.ContentLength > maximum {
 		return nil, errTooLarge
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -172,6 +172,7 @@
 func (silentJournal) StoreAnswered(time.Duration)                               {}
 func (silentJournal) Members(int)                                               {}
 func (silentJournal) Learned(string, int, uint64)                               {}
+func (silentJournal) Fault(string)                                              {}
 func (silentJournal) PeerMalformed(string, error)                               {}
 
 const shards = 4
@@ -460,3 +461,13 @@
 		}
 	})
 }
+
+// TestFaultOfOurs: a panic within an attempt ends that attempt and not the process.
+func TestFaultOfOurs(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		s.backEnds.answer = except(func(context.Context, gateway.Send) forward.Outcome { panic("a fault") }, "s1-near", "s1-far")
+		if result := s.search(); result.Failure != nil || result.Missing != 1 {
+			t.Errorf("answered %+v", result.Answer)
+		}
+	})
+}
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -25,4 +25,6 @@
 	// Learned: a peer told what the store had not.
 	Learned(from string, records int, revision uint64)
 	PeerMalformed(remote string, err error)
+	// Fault: something went wrong in this process that should not.
+	Fault(text string)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"stiletrail/internal/failure"
@@ -189,7 +190,7 @@
 	r.cancels[attempt] = cancel
 	send := Send{Call: r.call, Attempt: attempt, Entry: attempt.Replica.Entry, Deadline: r.deadline}
 	go func() {
-		outcome := r.gateway.backEnds.Exchange(ctx, send)
+		outcome := r.gateway.exchange(ctx, send)
 		cancelled := ctx.Err() != nil
 		cancel()
 		r.gateway.attemptEnded(attempt, outcome, cancelled)
@@ -197,6 +198,17 @@
 	}()
 }
 
+// exchange carries an attempt out. A fault of ours ends the attempt, which may have run, and not the process.
+func (g *Gateway) exchange(ctx context.Context, send Send) (outcome forward.Outcome) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			g.journal.Fault(fmt.Sprint(fault))
+			outcome = forward.Outcome{Kind: forward.Lost, Detail: "a fault of this node"}
+		}
+	}()
+	return g.backEnds.Exchange(ctx, send)
+}
+
 // cancel withdraws an attempt: at once where the caller has left, since nobody may work for it any more; else after a while,
 // since an answer that is nearly there costs less than a new connection.
 func (r *run) cancel(attempt *forward.Attempt) {
--- a/internal/serving/callers.go
+++ b/internal/serving/callers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +20,7 @@
 	listener net.Listener
 	handler  http.Handler
 	onState  func(net.Conn, http.ConnState)
+	errors   *log.Logger
 
 	mutex   sync.Mutex
 	limits  routing.Limits
@@ -53,8 +56,8 @@
 // Addr implements net.Listener.
 func (h *handedOver) Addr() net.Addr { return h.address }
 
-func newCallerListener(listener net.Listener, handler http.Handler, onState func(net.Conn, http.ConnState)) *callerListener {
-	c := &callerListener{listener: listener, handler: handler, onState: onState}
+func newCallerListener(listener net.Listener, handler http.Handler, onState func(net.Conn, http.ConnState), errors io.Writer) *callerListener {
+	c := &callerListener{listener: listener, handler: handler, onState: onState, errors: log.New(errors, "", 0)}
 	c.open()
 	return c
 }
@@ -62,7 +65,7 @@
 // open starts a server with the limits as they are; the lock is held, or nobody else knows the listener yet.
 func (c *callerListener) open() {
 	server := &http.Server{
-		Handler: c.handler, ConnState: c.onState, DisableGeneralOptionsHandler: true,
+		Handler: c.handler, ConnState: c.onState, DisableGeneralOptionsHandler: true, ErrorLog: c.errors,
 		ReadHeaderTimeout: orDefault(c.limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       orDefault(c.limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:    orDefault(c.limits.HeaderBytes, defaultHeaderBytes),
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -57,10 +58,10 @@
 	failed      chan error
 }
 
-// Start listens at all addresses.
-func Start(node Node, addresses Addresses, callers, metrics http.Handler) (*Server, error) {
+// Start listens at all addresses. What net/http has to say of callers' connections is written to errors.
+func Start(node Node, addresses Addresses, callers, metrics http.Handler, errors io.Writer) (*Server, error) {
 	s := &Server{node: node, failed: make(chan error, 3)}
-	if err := s.listenForCallers(addresses.Callers, callers); err != nil {
+	if err := s.listenForCallers(addresses.Callers, callers, errors); err != nil {
 		return nil, err
 	}
 	if err := s.listenAside(addresses.Ready, http.HandlerFunc(s.serveReady)); err != nil {
@@ -75,12 +76,12 @@
 // Failed delivers the failure of a listener.
 func (s *Server) Failed() <-chan error { return s.failed }
 
-func (s *Server) listenForCallers(address string, handler http.Handler) error {
+func (s *Server) listenForCallers(address string, handler http.Handler, errors io.Writer) error {
 	listener, err := listen(address)
 	if err != nil {
 		return err
 	}
-	s.callers = newCallerListener(listener, handler, s.count)
+	s.callers = newCallerListener(listener, handler, s.count, errors)
 	go func() {
 		if err := s.callers.accept(s.node.Limits); !s.stopping.Load() {
 			s.failed <- err
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -40,7 +40,7 @@
 	t.Helper()
 	addresses := serving.Addresses{Callers: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t)}
 	hello := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) })
-	server, err := serving.Start(node, addresses, hello, hello)
+	server, err := serving.Start(node, addresses, hello, hello, io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 func TestAddressTaken(t *testing.T) {
 	node := &fakeNode{}
 	_, addresses := start(t, node)
-	if _, err := serving.Start(node, addresses, http.NotFoundHandler(), http.NotFoundHandler()); err == nil {
+	if _, err := serving.Start(node, addresses, http.NotFoundHandler(), http.NotFoundHandler(), io.Discard); err == nil {
 		t.Error("started twice at the same addresses")
 	}
 }
@@ -107,7 +107,7 @@
 	node.limits.Store(&routing.Limits{HeaderBytes: 8 << 10})
 	addresses := serving.Addresses{Callers: freeAddress(t), Ready: freeAddress(t)}
 	hello := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) })
-	if _, err := serving.Start(node, addresses, hello, nil); err != nil {
+	if _, err := serving.Start(node, addresses, hello, nil, io.Discard); err != nil {
 		t.Fatal(err)
 	}
 	status := func(client *http.Client, size int) int {
