--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -4,8 +4,10 @@
 
 // How attempts are spaced.
 const (
-	// waitForRoom is the pause before a replica is looked for again where all have their attempts.
-	waitForRoom = 4 * time.Millisecond
+	// firstWait is the pause before a replica is looked for again where all have their attempts; it doubles up to longestWait,
+	// so that many requests that wait do not take the time of those that are served.
+	firstWait   = 4 * time.Millisecond
+	longestWait = 64 * time.Millisecond
 	// hedgeAgain is the pause before a hedge is tried again that found no replica or budget.
 	hedgeAgain = 20 * time.Millisecond
 	// siblingFactor and siblingSlack: a shard is late once it takes longer than so many times its siblings and the slack,
@@ -21,6 +23,10 @@
 	s := &r.shards[number]
 	chosen, busy := r.world.Pick(s.service, s.tried)
 	s.waiting = chosen == nil && busy && purpose == First
+	if s.waiting {
+		s.wait = min(max(2*s.wait, firstWait), longestWait)
+		s.lookAgainAt = now + s.wait
+	}
 	if chosen == nil {
 		s.failed = s.live == 0 && !s.waiting
 		return false
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -160,8 +160,10 @@
 	hedgeAt time.Duration
 	// denied is why the last extra attempt that was due was not sent.
 	denied Denied
-	// waiting: no replica has room.
-	waiting bool
+	// waiting: no replica has room; it is looked for again at lookAgainAt, after a pause of wait.
+	waiting     bool
+	wait        time.Duration
+	lookAgainAt time.Duration
 }
 
 // Request is one request under way.
@@ -285,7 +287,7 @@
 	}
 	for i := range r.shards {
 		s := &r.shards[i]
-		if s.waiting {
+		if s.waiting && now >= s.lookAgainAt {
 			r.try(now, i, First)
 		} else if r.mayHedge(s) && now >= s.hedgeAt {
 			r.hedge(now, i)
@@ -314,7 +316,7 @@
 	for i := range r.shards {
 		s := &r.shards[i]
 		if s.waiting {
-			wake = min(wake, now+waitForRoom)
+			wake = min(wake, s.lookAgainAt)
 		} else if r.mayHedge(s) {
 			wake = min(wake, s.hedgeAt)
 		}
