One question to peers at a time, peers near by first, a node that has just started waits for the store

A node that had not read the store yet asked each peer that knew more for a whole copy, 300 KB at 1,199 back ends, also while others were on their way. TestOneQuestionAtATime failed first.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -201,9 +201,13 @@
 	return wait
 }
 
-// Served reports whether the store answers this node: it did so of late, and not with trouble since.
+// Served reports whether the store answers this node: it did so of late, and not with trouble since. A node that has just started
+// and not failed yet counts as served.
 func (c *Core) Served(now time.Duration) bool {
-	return c.contactAt >= 0 && c.backoff == 0 && now-c.contactAt < max(c.settings.WatchFor, c.period)+c.settings.GatherFor+c.settings.LongestBackoff
+	if c.failures > 0 {
+		return false
+	}
+	return c.contactAt < 0 || now-c.contactAt < max(c.settings.WatchFor, c.period)+c.settings.GatherFor+c.settings.LongestBackoff
 }
 
 // Failed takes in that a call went wrong.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,8 @@
 	// members are the nodes known, peers carries messages to them; nil on a node without peers.
 	members *membership.Core
 	peers   PeerTransport
+	// peerPicks counts how often peers were picked.
+	peerPicks int
 	// nodes is the number of nodes to share what there is with: those known, dead ones included, since they may be back; 0 while
 	// this node has not joined them.
 	nodes int
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,9 @@
 	Send(to string, m message.Message)
 }
 
+// farPickEvery single peers one is picked anywhere.
+const farPickEvery = 4
+
 // peerTick is the pause between looks at what is due among peers.
 const peerTick = 200 * time.Millisecond
 
@@ -28,12 +31,20 @@
 	g.peers = peers
 }
 
-// somePeers picks random members for the spreading of the store's state.
+// somePeers picks random members for the spreading of the store's state: one anywhere and the others near, since bytes between
+// regions are dear; every fourth time a single one is picked anywhere too, so that news crosses between regions.
 func (g *Gateway) somePeers(count int) []string {
 	if g.members == nil {
 		return nil
 	}
-	return g.members.Pick(count, membership.Member.Usable)
+	g.peerPicks++
+	near := func(m membership.Member) bool { return m.Usable() && m.Region == g.members.Self().Region }
+	farther := 1
+	if count == 1 && g.peerPicks%farPickEvery != 0 {
+		farther = 0
+	}
+	picked := g.members.Pick(count-farther, near)
+	return append(picked, g.members.Pick(count-len(picked), membership.Member.Usable)...)
 }
 
 // tell sends what was decided; the lock is held.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -18,22 +18,23 @@
 	// doubtIntervals of renewal are waited for an entry to come back that vanished while the store was unsettled.
 	doubtIntervals = 1.6
 	// retryMargin of the retry budget is not used, for what cannot be counted, such as a restart of a node.
-	retryMargin    = 0.04
-	hedgeReserve   = 0.06
-	linger         = 150 * time.Millisecond
-	watchFor       = 2500 * time.Millisecond
-	gatherFor      = 900 * time.Millisecond
-	settleFor      = 5 * time.Second
-	firstBackoff   = 100 * time.Millisecond
-	longestBackoff = time.Second
-	firstTimeout   = 700 * time.Millisecond
-	longestTimeout = 4 * time.Second
-	digestInterval = time.Second
-	digestFanout   = 3
-	peerPatience   = time.Second
-	keepGone       = time.Minute
-	watchPerNode   = 800 * time.Millisecond
-	longestWatch   = 15 * time.Second
+	retryMargin      = 0.04
+	hedgeReserve     = 0.06
+	linger           = 150 * time.Millisecond
+	watchFor         = 2500 * time.Millisecond
+	gatherFor        = 900 * time.Millisecond
+	settleFor        = 5 * time.Second
+	firstBackoff     = 100 * time.Millisecond
+	longestBackoff   = time.Second
+	firstTimeout     = 700 * time.Millisecond
+	longestTimeout   = 4 * time.Second
+	digestInterval   = time.Second
+	digestFanout     = 3
+	peerPatience     = time.Second
+	peerAnswerWithin = 1500 * time.Millisecond
+	keepGone         = time.Minute
+	watchPerNode     = 800 * time.Millisecond
+	longestWatch     = 15 * time.Second
 	// mostConnections of one node to a back end are more than it can use.
 	mostConnections = 8
 )
@@ -52,7 +53,7 @@
 			WatchFor: watchFor, GatherFor: gatherFor, SettleFor: settleFor, FirstBackoff: firstBackoff, LongestBackoff: longestBackoff,
 			FirstTimeout: firstTimeout, LongestTimeout: longestTimeout,
 		},
-		Spread:       spread.Settings{Interval: digestInterval, Fanout: digestFanout, Patience: peerPatience, KeepGone: keepGone},
+		Spread:       spread.Settings{Interval: digestInterval, Fanout: digestFanout, Patience: peerPatience, AnswerWithin: peerAnswerWithin, KeepGone: keepGone},
 		WatchPerNode: watchPerNode, LongestWatch: longestWatch, MostConnections: mostConnections, RetrySlack: s.RetrySlack,
 		Places:     replica.Places{Zone: s.Zone, Regions: s.Regions},
 		RetryShare: s.RetryShare * (1 - retryMargin), RetryWindow: s.RetryWindow, HedgeReserve: hedgeReserve,
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -20,6 +20,8 @@
 	Fanout int
 	// Patience is how long a node that the store serves waits for its own watch when a peer knows more.
 	Patience time.Duration
+	// AnswerWithin is how long a node waits for a peer's answer before it asks another.
+	AnswerWithin time.Duration
 	// KeepGone is how long it is remembered that a key is gone.
 	KeepGone time.Duration
 }
@@ -53,6 +55,8 @@
 	ahead         string
 	aheadRevision uint64
 	aheadSince    time.Duration
+	// askedUntil: a peer was asked, and no other is before then. Copies are large where there are many back ends.
+	askedUntil time.Duration
 }
 
 // New returns a core that knows nothing.
@@ -147,11 +151,12 @@
 		c.ahead = ""
 		return nil
 	}
-	if served && c.revision > 0 && now-c.aheadSince < c.settings.Patience {
+	if now < c.askedUntil || (served && now-c.aheadSince < c.settings.Patience) {
 		return nil
 	}
 	peer := c.ahead
 	c.ahead = ""
+	c.askedUntil = now + c.settings.AnswerWithin
 	return []Send{{peer, &message.StoreRequest{Revision: c.revision}}}
 }
 
@@ -210,6 +215,7 @@
 
 func (c *Core) receiveRecords(now time.Duration, m *message.StoreRecords) Received {
 	var received Received
+	c.askedUntil = 0
 	listed := make(map[string]bool, len(m.Records))
 	for _, record := range m.Records {
 		listed[record.Key] = true
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -12,7 +12,7 @@
 	"stiletrail/internal/spread"
 )
 
-var settings = spread.Settings{Interval: time.Second, Fanout: 2, Patience: time.Second, KeepGone: 20 * time.Second}
+var settings = spread.Settings{Interval: time.Second, Fanout: 2, Patience: time.Second, AnswerWithin: time.Second, KeepGone: 20 * time.Second}
 
 // world is some nodes, the store they follow, and the messages between them.
 type world struct {
@@ -158,6 +158,23 @@
 	}
 }
 
+// TestOneQuestionAtATime: copies are large, so a node that waits for one does not ask for another, unless none comes.
+func TestOneQuestionAtATime(t *testing.T) {
+	core := spread.New(settings, func(int) []string { return []string{"peer"} })
+	asked := 0
+	for i := range 10 {
+		now := time.Duration(i) * 100 * time.Millisecond
+		asked += requests(core.Receive(now, fmt.Sprint("peer-", i), &message.StoreDigest{Revision: 5}, false).Sends)
+	}
+	if asked != 1 {
+		t.Errorf("asked %d times within a second", asked)
+	}
+	asked += requests(core.Receive(time.Second, "another", &message.StoreDigest{Revision: 5}, false).Sends)
+	if asked += requests(core.Tick(1100*time.Millisecond, false)); asked != 2 {
+		t.Error("did not ask another when no answer came")
+	}
+}
+
 func requests(sends []spread.Send) int {
 	count := 0
 	for _, send := range sends {
