--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -139,6 +139,8 @@
 	// syncedSize is the number of records at the last sync.
 	syncedSize int
 	syncWait   time.Duration
+	// syncs counts exchanges begun.
+	syncs int
 	// viewed: a peer has sent its view; joined: after that the view stopped growing.
 	viewed    bool
 	joined    bool
@@ -248,9 +250,9 @@
 		sends = []Send{{To: m.Target, Message: &message.Probe{Sequence: sequence, Updates: c.piggyback()}}}
 	case *message.MemberSync:
 		c.merge(m.Updates, now)
-		c.viewed = c.viewed || !m.Reply
+		c.viewed = c.viewed || !m.Reply || m.Whole
 		if m.Reply {
-			sends = c.viewFor(from, false)
+			sends = c.answerSync(from, m)
 		}
 	}
 	if met {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -153,43 +153,6 @@
 	return ""
 }
 
-// startSync exchanges whole views with a random member or a seed not met yet.
-func (c *Core) startSync() []Send {
-	if len(c.seeds) > 0 {
-		seed := c.seeds[c.random.IntN(len(c.seeds))]
-		if c.records[seed] == nil {
-			return []Send{{To: seed, Message: &message.MemberSync{Reply: true, Updates: []message.MemberUpdate{toUpdate(c.self)}}}}
-		}
-	}
-	peers := c.pick(1, func(m Member) bool { return m.Usable() })
-	if len(peers) == 0 {
-		return nil
-	}
-	return c.viewFor(peers[0], true)
-}
-
-// Sync returns messages that ask the given peer for its whole view.
-func (c *Core) Sync(peer string) []Send {
-	return []Send{{To: peer, Message: &message.MemberSync{Reply: true, Updates: []message.MemberUpdate{toUpdate(c.self)}}}}
-}
-
-func (c *Core) viewFor(peer string, reply bool) []Send {
-	var sends []Send
-	updates := []message.MemberUpdate{toUpdate(c.self)}
-	for _, address := range c.addresses(func(Member) bool { return true }) {
-		updates = append(updates, toUpdate(c.records[address].member))
-		if len(updates) == syncChunk {
-			sends = append(sends, Send{To: peer, Message: &message.MemberSync{Reply: reply, Updates: updates}})
-			updates = nil
-			reply = false
-		}
-	}
-	if len(updates) > 0 {
-		sends = append(sends, Send{To: peer, Message: &message.MemberSync{Reply: reply, Updates: updates}})
-	}
-	return sends
-}
-
 // expire declares suspects dead whose time to refute has passed, and forgets members long dead.
 func (c *Core) expire(now time.Duration) {
 	limit := c.suspicionTimeout()
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -147,9 +147,13 @@
 	list(c, &m.Updates, walkUpdate)
 }
 
-// MemberSync carries a sender's whole view; Reply asks for the receiver's.
+// MemberSync compares views of the members. It carries updates, and asks for what the receiver knows better where Reply is set.
 type MemberSync struct {
-	Reply   bool
+	Reply bool
+	// Whole: the updates are all that the sender knows.
+	Whole bool
+	// Hash of the sender's whole view, 0 where it is not told; a receiver with the same has nothing to say.
+	Hash    uint64
 	Updates []MemberUpdate
 }
 
@@ -157,6 +161,8 @@
 func (*MemberSync) Kind() Kind { return KindMemberSync }
 func (m *MemberSync) fields(c *codec) {
 	c.bool(&m.Reply)
+	c.bool(&m.Whole)
+	c.uint64(&m.Hash)
 	list(c, &m.Updates, walkUpdate)
 }
 
