--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -124,7 +124,8 @@
 		return "configuration"
 	case decisionlog.EventBackEnd, decisionlog.EventVanished, decisionlog.EventEjected:
 		for _, attempt := range request.Attempts {
-			if known.BackEnd != "" && strings.Contains(attempt, " "+known.BackEnd+" ") {
+			// What is believed of a back end that answered explains nothing.
+			if known.BackEnd != "" && strings.Contains(attempt, " "+known.BackEnd+" ") && !strings.HasSuffix(attempt, " answered") {
 				return known.Event + " " + known.BackEnd
 			}
 		}
