--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,8 +1,8 @@
 // Package gateway runs requests on a node that asks back ends itself: it holds the routing table in force and the back ends
 // known, drives a forward.Request per request with attempts over the network, and follows the store.
 //
-// All decisions are made in packages without I/O (forward, replica, follow, routing); this one has the clock, the goroutines
-// and the lock.
+// All decisions are made in packages without I/O (forward, replica, follow, spread, membership, routing, limit); this one has the
+// clock, the goroutines and the lock.
 package gateway
 
 import (
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -19,7 +19,7 @@
 	latencyGain = 0.3
 )
 
-// Candidate says whether a replica may be picked at all: not draining, not at an address that answers for another.
+// candidate reports whether a replica may be picked at all: it is not draining, and its address does not answer for another.
 func (r *Replica) candidate() bool {
 	return !r.Draining && !r.misdirected
 }
@@ -47,16 +47,6 @@
 	return best, best == nil && busy
 }
 
-// Has reports whether a service has any replica that may be picked.
-func (s *Set) Has(service string) bool {
-	for _, member := range s.byService[service] {
-		if member.candidate() {
-			return true
-		}
-	}
-	return false
-}
-
 // rank orders replicas before their scores are compared.
 type rank int
 
