--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +84,13 @@
 	return item
 }
 
+// callCount is the number of calls so far.
+func (s *fakeStore) callCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
 func (s *fakeStore) set(change func(*fakeStore)) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -147,6 +156,20 @@
 	answer func(ctx context.Context, send gateway.Send) forward.Outcome
 }
 
+// set has a function answer attempts from now on.
+func (b *fakeBackEnds) set(answer func(ctx context.Context, send gateway.Send) forward.Outcome) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.answer = answer
+}
+
+// sent gives the attempts so far.
+func (b *fakeBackEnds) sent() []gateway.Send {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.Clone(b.sends)
+}
+
 // Prune implements gateway.BackEnds.
 func (b *fakeBackEnds) Prune(func(string) bool) {}
 
@@ -154,8 +177,9 @@
 func (b *fakeBackEnds) Exchange(ctx context.Context, send gateway.Send) forward.Outcome {
 	b.mutex.Lock()
 	b.sends = append(b.sends, send)
+	answer := b.answer
 	b.mutex.Unlock()
-	return b.answer(ctx, send)
+	return answer(ctx, send)
 }
 
 // silentJournal takes no note.
@@ -304,8 +328,8 @@
 func TestFewCalls(t *testing.T) {
 	play(t, func(t *testing.T, s *scene) {
 		time.Sleep(time.Hour)
-		if most := int(time.Hour/(2500*time.Millisecond)) + 10; s.store.calls > most {
-			t.Errorf("%d calls in an hour, at most %d were expected", s.store.calls, most)
+		if most := int(time.Hour/(2500*time.Millisecond)) + 10; s.store.callCount() > most {
+			t.Errorf("%d calls in an hour, at most %d were expected", s.store.callCount(), most)
 		}
 	})
 }
@@ -343,7 +367,7 @@
 		s.store.put(gateway.Item{Key: "back ends/s0-near", Gone: true})
 		time.Sleep(time.Second)
 		s.search()
-		for _, send := range s.backEnds.sends {
+		for _, send := range s.backEnds.sent() {
 			if send.Entry.ID == "s0-near" {
 				t.Error("the back end that left was asked")
 			}
@@ -357,7 +381,7 @@
 		for range 20 {
 			s.search()
 		}
-		s.backEnds.answer = except(after(time.Hour), "s1-near")
+		s.backEnds.set(except(after(time.Hour), "s1-near"))
 		result := s.search()
 		if result.Missing != 0 || result.Elapsed > 100*time.Millisecond {
 			t.Errorf("answered with %d missing after %v", result.Missing, result.Elapsed)
@@ -368,7 +392,7 @@
 // TestShardLost: with all replicas of a shard silent, the answer comes at the target without that shard, and says so.
 func TestShardLost(t *testing.T) {
 	play(t, func(t *testing.T, s *scene) {
-		s.backEnds.answer = except(after(time.Hour), "s1-near", "s1-far")
+		s.backEnds.set(except(after(time.Hour), "s1-near", "s1-far"))
 		result := s.search()
 		if result.Failure != nil || result.Missing != 1 || result.Elapsed > 250*time.Millisecond {
 			t.Errorf("answered with %d missing after %v: %v", result.Missing, result.Elapsed, result.Failure)
@@ -379,7 +403,7 @@
 // TestTimeoutComesFromATimer: with every back end silent, the final answer comes at the route's timeout.
 func TestTimeoutComesFromATimer(t *testing.T) {
 	play(t, func(t *testing.T, s *scene) {
-		s.backEnds.answer = after(time.Hour)
+		s.backEnds.set(after(time.Hour))
 		result := s.search()
 		if result.Failure == nil || result.Failure.NotRun || result.Elapsed < 3900*time.Millisecond || result.Elapsed > 4100*time.Millisecond {
 			t.Errorf("answered %v after %v", result.Failure, result.Elapsed)
@@ -390,7 +414,7 @@
 // TestReloadKeepsWhatIsUnderWay: a request keeps the table it began with.
 func TestReloadKeepsWhatIsUnderWay(t *testing.T) {
 	play(t, func(t *testing.T, s *scene) {
-		s.backEnds.answer = after(2 * time.Second)
+		s.backEnds.set(after(2 * time.Second))
 		results := make(chan gateway.Result, 1)
 		go func() { results <- s.search() }()
 		time.Sleep(100 * time.Millisecond)
@@ -408,7 +432,7 @@
 // TestGiveUp: at the end of a planned stop each request under way is answered at once.
 func TestGiveUp(t *testing.T) {
 	play(t, func(t *testing.T, s *scene) {
-		s.backEnds.answer = after(time.Hour)
+		s.backEnds.set(after(time.Hour))
 		results := make(chan gateway.Result, 1)
 		go func() { results <- s.search() }()
 		time.Sleep(time.Second)
@@ -426,26 +450,27 @@
 // TestLosersAreWithdrawn: attempts of no more use end soon after the answer, and at once when the caller leaves.
 func TestLosersAreWithdrawn(t *testing.T) {
 	play(t, func(t *testing.T, s *scene) {
-		var ended time.Duration
-		began := time.Now()
-		s.backEnds.answer = except(func(ctx context.Context, _ gateway.Send) forward.Outcome {
+		var ended atomic.Int64
+		var began atomic.Value
+		began.Store(time.Now())
+		s.backEnds.set(except(func(ctx context.Context, _ gateway.Send) forward.Outcome {
 			<-ctx.Done()
-			ended = time.Since(began)
+			ended.Store(int64(time.Since(began.Load().(time.Time))))
 			return forward.Outcome{Kind: forward.Lost}
-		}, "s1-near", "s1-far")
+		}, "s1-near", "s1-far"))
 		result := s.search()
 		time.Sleep(time.Second)
-		if ended > result.Elapsed+200*time.Millisecond {
-			t.Errorf("answered after %v, withdrawn after %v", result.Elapsed, ended)
+		if time.Duration(ended.Load()) > result.Elapsed+200*time.Millisecond {
+			t.Errorf("answered after %v, withdrawn after %v", result.Elapsed, time.Duration(ended.Load()))
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		go s.gateway.Serve(ctx, &gateway.Call{ID: "id", Host: "h", Path: "/all/x"})
 		time.Sleep(30 * time.Millisecond)
-		began = time.Now()
+		began.Store(time.Now())
 		cancel()
 		time.Sleep(time.Second)
-		if ended > 10*time.Millisecond {
-			t.Errorf("withdrawn %v after the caller left", ended)
+		if time.Duration(ended.Load()) > 10*time.Millisecond {
+			t.Errorf("withdrawn %v after the caller left", time.Duration(ended.Load()))
 		}
 	})
 }
@@ -465,7 +490,7 @@
 // TestFaultOfOurs: a panic within an attempt ends that attempt and not the process.
 func TestFaultOfOurs(t *testing.T) {
 	play(t, func(t *testing.T, s *scene) {
-		s.backEnds.answer = except(func(context.Context, gateway.Send) forward.Outcome { panic("a fault") }, "s1-near", "s1-far")
+		s.backEnds.set(except(func(context.Context, gateway.Send) forward.Outcome { panic("a fault") }, "s1-near", "s1-far"))
 		if result := s.search(); result.Failure != nil || result.Missing != 1 {
 			t.Errorf("answered %+v", result.Answer)
 		}
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +17,27 @@
 
 // network carries messages between gateways on the virtual clock.
 type network struct {
+	delay time.Duration
+
+	mutex    sync.Mutex
 	gateways map[string]*gateway.Gateway
-	delay    time.Duration
+}
+
+func newNetwork() *network {
+	return &network{delay: 12 * time.Millisecond, gateways: map[string]*gateway.Gateway{}}
+}
+
+// attach has a gateway receive what is sent to an address from now on.
+func (n *network) attach(address string, g *gateway.Gateway) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.gateways[address] = g
+}
+
+func (n *network) at(address string) *gateway.Gateway {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.gateways[address]
 }
 
 // end is a gateway's own end of the network.
@@ -29,7 +50,7 @@
 func (e end) Send(to string, m message.Message) {
 	go func() {
 		time.Sleep(e.network.delay)
-		if receiver := e.network.gateways[to]; receiver != nil {
+		if receiver := e.network.at(to); receiver != nil {
 			receiver.Message(e.address, m)
 		}
 	}()
@@ -48,12 +69,12 @@
 // cutStore is the store as one node reaches it.
 type cutStore struct {
 	*fakeStore
-	cut bool
+	cut atomic.Bool
 }
 
 // List implements gateway.Store.
 func (s *cutStore) List(ctx context.Context, after string) (gateway.Page, error) {
-	if s.cut {
+	if s.cut.Load() {
 		return gateway.Page{}, errDown
 	}
 	return s.fakeStore.List(ctx, after)
@@ -61,7 +82,7 @@
 
 // Watch implements gateway.Store.
 func (s *cutStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]message.StoreRecord, uint64, error) {
-	if s.cut {
+	if s.cut.Load() {
 		return nil, 0, errDown
 	}
 	return s.fakeStore.Watch(ctx, revision, wait)
@@ -79,14 +100,14 @@
 	g.Join(self, []string{address(0), address(1)}, end{c.network, address(number)})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.gateways[number], c.contexts[number] = g, cancel
-	c.network.gateways[address(number)] = g
+	c.network.attach(address(number), g)
 	go g.Run(ctx)
 }
 
 func playCluster(t *testing.T, nodes int, test func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
-			store: newStore(), network: &network{gateways: map[string]*gateway.Gateway{}, delay: 12 * time.Millisecond},
+			store: newStore(), network: newNetwork(),
 			backEnds: &fakeBackEnds{answer: after(20 * time.Millisecond)}, gateways: make([]*gateway.Gateway, nodes),
 			contexts: make([]context.CancelFunc, nodes),
 		}
@@ -111,7 +132,7 @@
 // TestNodeThatTheStoreRefuses has each change in force within three seconds all the same: others tell it.
 func TestNodeThatTheStoreRefuses(t *testing.T) {
 	playCluster(t, 5, func(t *testing.T, c *cluster) {
-		c.paths[3].cut = true
+		c.paths[3].cut.Store(true)
 		time.Sleep(20 * time.Second)
 		for version := uint64(2); version < 8; version++ {
 			c.store.put(configuration(version))
@@ -133,7 +154,7 @@
 func TestRestartWhileTheStoreIsDown(t *testing.T) {
 	playCluster(t, 4, func(t *testing.T, c *cluster) {
 		for _, path := range c.paths {
-			path.cut = true
+			path.cut.Store(true)
 		}
 		time.Sleep(10 * time.Second)
 		c.contexts[2]()
@@ -168,9 +189,9 @@
 // TestCallsFallWithNodes: nine nodes call the store less often each than one alone.
 func TestCallsFallWithNodes(t *testing.T) {
 	playCluster(t, 9, func(t *testing.T, c *cluster) {
-		before := c.store.calls
+		before := c.store.callCount()
 		time.Sleep(10 * time.Minute)
-		each := float64(c.store.calls-before) / 9
+		each := float64(c.store.callCount()-before) / 9
 		if alone := (10 * time.Minute).Seconds() / 2.5; each > 0.6*alone {
 			t.Errorf("%.0f calls a node in ten minutes, one alone makes %.0f", each, alone)
 		}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
 	"stiletrail/internal/membership"
@@ -58,6 +60,7 @@
 // simulation is a whole deployment on a virtual clock, with a checker of what must hold.
 type simulation struct {
 	t        *testing.T
+	seed     uint64
 	random   *rand.Rand
 	cluster  *cluster
 	began    time.Time
@@ -102,11 +105,11 @@
 
 func simulate(t *testing.T, seed uint64) {
 	s := &simulation{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), backEnds: map[string]*modelBackEnd{}, ends: map[string]gateway.Result{},
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), backEnds: map[string]*modelBackEnd{}, ends: map[string]gateway.Result{},
 		versions: map[*gateway.Gateway]uint64{}, began: time.Now(),
 	}
 	s.cluster = &cluster{
-		store: newStore(), network: &network{gateways: map[string]*gateway.Gateway{}, delay: 12 * time.Millisecond},
+		store: newStore(), network: newNetwork(),
 		backEnds: &fakeBackEnds{answer: s.exchange}, gateways: make([]*gateway.Gateway, simulatedNodes),
 		contexts: make([]context.CancelFunc, simulatedNodes),
 	}
@@ -154,7 +157,7 @@
 	}, []string{address(0), address(1)}, end{c.network, address(number)})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.gateways[number], c.contexts[number] = g, cancel
-	c.network.gateways[address(number)] = g
+	c.network.attach(address(number), g)
 	go g.Run(ctx)
 }
 
@@ -204,7 +207,9 @@
 func (s *simulation) exchange(ctx context.Context, send gateway.Send) forward.Outcome {
 	s.mutex.Lock()
 	b := s.backEnds[send.Entry.ID]
-	fate, work := s.random.IntN(100), time.Duration(5+s.random.IntN(30))*time.Millisecond
+	// Drawn from what the attempt is, so that a seed gives one course whatever the order in which attempts run.
+	random := rand.New(rand.NewPCG(s.seed, xxhash.Sum64String(fmt.Sprint(send.Call.ID, send.Entry.ID, send.Attempt.Number))))
+	fate, work := random.IntN(100), time.Duration(5+random.IntN(30))*time.Millisecond
 	if b == nil || b.dark {
 		s.mutex.Unlock()
 		return silence(ctx, 400*time.Millisecond, forward.NotSent)
@@ -263,7 +268,7 @@
 	case 5:
 		s.configure()
 	case 6:
-		during(func() { path.cut = true }, func() { path.cut = false })
+		during(func() { path.cut.Store(true) }, func() { path.cut.Store(false) })
 	case 7:
 		s.outages = append(s.outages, span{time.Now(), time.Now().Add(length + settleTime)})
 		s.cluster.store.set(func(store *fakeStore) { store.err = errDown })
--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -49,7 +49,7 @@
 func TestPeerTraffic(t *testing.T) {
 	const nodes, backEnds = 120, 400
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{store: newStore(), network: &network{gateways: map[string]*gateway.Gateway{}, delay: 12 * time.Millisecond}}
+		c := &cluster{store: newStore(), network: newNetwork()}
 		sent := &traffic{}
 		for i := range nodes {
 			loaded := settings.DefaultGateway()
@@ -61,7 +61,7 @@
 			}, []string{address(0), address(1), address(2)}, countedEnd{end{c.network, address(i)}, sent, i})
 			ctx, cancel := context.WithCancel(context.Background())
 			c.gateways, c.contexts = append(c.gateways, g), append(c.contexts, cancel)
-			c.network.gateways[address(i)] = g
+			c.network.attach(address(i), g)
 			go g.Run(ctx)
 		}
 		c.store.put(configuration(1))
