--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -106,3 +106,18 @@
 		t.Errorf("the peer is %d after a freeze", peer.State)
 	}
 }
+
+// TestJoinedOnlyAfterComparingViews: a fresh node with seeds has not joined before it has compared its view with another's, and
+// goes on alone only after a while.
+func TestJoinedOnlyAfterComparingViews(t *testing.T) {
+	core := newCore("self", "seed")
+	if core.Joined(0) || core.Joined(time.Second) {
+		t.Error("joined without having heard from anybody")
+	}
+	if !core.Joined(time.Minute) {
+		t.Error("waits for seeds for ever")
+	}
+	if alone := newCore("alone"); !alone.Joined(0) {
+		t.Error("a node without seeds waits")
+	}
+}
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -119,7 +119,7 @@
 	{
 		"a fresh node serves before it knows the members", "internal/membership/probe.go",
 		"	return c.joined || alone || now-c.startedAt > joinTimeout", "	return c.joined || alone || now >= 0",
-		"./internal/simulation", "TestPlannedStops",
+		"./internal/membership", "TestJoinedOnlyAfterComparingViews",
 	},
 	{
 		"hedges go into full windows", "internal/dispatch/backend.go",
