--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test quickstart simulate bench scale generate
+.PHONY: build test quickstart simulate prove bench scale generate soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -23,3 +23,6 @@
 
 generate:
 	go generate ./api
+
+soak:
+	go test -count=1 -timeout 60m -tags soak -v -run TestSoak ./platform/soak
