Connections: none kept to far back ends where a node has hardly one; nodes that have not joined share by those heard of

Cause: after all 88 machines lose power, back ends count the connections of the dead for seconds. 34269 new ones were reset over the cap (76 at 108 back ends), 502 for 1423 tries: connections of hedges to other regions rested at back ends for 4 s each, and a node that had not joined yet opened up to four to each. Tests: TestKeep, TestOneUse.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -52,6 +52,8 @@
 	Prepare func() (*http.Request, error)
 	// MaximumBody bounds the answer in bytes.
 	MaximumBody int64
+	// OneUse has the connection closed after the answer.
+	OneUse bool
 	// Trusted reports whether an answer belongs to the request; the connection is not used again if it does not.
 	Trusted func(status int, header http.Header) bool
 }
@@ -70,7 +72,7 @@
 	}
 	stop := context.AfterFunc(ctx, connection.abort)
 	result, reusable := connection.roundTrip(request)
-	if !stop() || !reusable {
+	if !stop() || !reusable || request.OneUse {
 		connection.close()
 		return result
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -183,6 +183,23 @@
 	}
 }
 
+// TestOneUse: a connection that is not worth keeping is closed after the answer.
+func TestOneUse(t *testing.T) {
+	s := serve(t, func(socket net.Conn, _ int64) bool {
+		respond(socket, "")
+		return true
+	})
+	pool := exchange.NewPool()
+	once := request(s.address())
+	once.OneUse = true
+	if result := pool.Do(context.Background(), once); result.Stage != exchange.Answered {
+		t.Errorf("%+v", result)
+	}
+	if pool.Open.Load() != 0 {
+		t.Error("the connection was kept")
+	}
+}
+
 // TestPrune: connections to addresses out of use are closed.
 func TestPrune(t *testing.T) {
 	s := serve(t, func(socket net.Conn, _ int64) bool {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -129,17 +129,22 @@
 func (g *Gateway) Malformed(remote string, err error) { g.journal.PeerMalformed(remote, err) }
 
 // shareOut divides what the nodes have in common among those known: the connections of each back end, and the calls to the
-// store. A node that does not know the others yet keeps to the settings.
+// store. A node that has not joined the others yet goes by those it has heard of so far, and by the settings.
 func (g *Gateway) shareOut() {
 	table := g.table.Load()
-	if g.nodes == 0 || table == nil {
+	if g.members == nil || table == nil {
 		return
 	}
-	g.takeTurns()
+	nodes, most := g.nodes, g.settings.Load().MostConnections
+	if nodes == 0 {
+		nodes, most = len(g.members.Members()), g.settings.Load().Replica.Connections
+	} else {
+		g.takeTurns()
+	}
 	connections := map[string]int{}
 	for _, service := range table.Services() {
 		if service.MaximumConnections > 0 {
-			connections[service.Name] = min(max(service.MaximumConnections/g.nodes, 1), g.settings.Load().MostConnections)
+			connections[service.Name] = min(max(service.MaximumConnections/nodes, 1), most)
 		}
 	}
 	g.replicas.SetConnections(connections)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -188,7 +188,10 @@
 	attempt.Replica.Start(now)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancels[attempt] = cancel
-	send := Send{Call: r.call, Attempt: attempt, Entry: attempt.Replica.Entry, Deadline: r.deadline}
+	send := Send{
+		Call: r.call, Attempt: attempt, Entry: attempt.Replica.Entry, Deadline: r.deadline,
+		OneUse: !r.gateway.replicas.Keep(attempt.Replica),
+	}
 	go func() {
 		outcome := r.gateway.exchange(ctx, send)
 		cancelled := ctx.Err() != nil
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -15,6 +15,8 @@
 	coldFactor = 1.6
 	// forgetAfter is the time in which the latency of an unused replica halves, so that it is tried again.
 	forgetAfter = 2 * time.Second
+	// keepShare of a back end's connections per node is enough to keep some to far back ends for the next request.
+	keepShare = 2
 	// latencyGain is the weight of a new sample in the moving average.
 	latencyGain = 0.3
 )
@@ -81,12 +83,24 @@
 	if r.Zone == s.places.Zone {
 		return 0
 	}
-	if s.places.Regions[r.Zone] == s.places.Regions[s.places.Zone] {
+	if s.near(r) {
 		return s.settings.OtherZone
 	}
 	return s.settings.OtherRegion
 }
 
+// Keep reports whether a connection to a replica is worth keeping for the next request. Where the nodes together may have hardly
+// one connection each, only those to near replicas are: what rests at far ones, after a hedge, would take the place of
+// connections that other nodes need, and after a loss of power the back end counts it on for seconds.
+func (s *Set) Keep(r *Replica) bool {
+	return s.connectionsOf(r.Service) >= keepShare || s.near(r)
+}
+
+// near reports whether a replica is in the region of the node.
+func (s *Set) near(r *Replica) bool {
+	return r.Zone == s.places.Zone || s.places.Regions[r.Zone] == s.places.Regions[s.places.Zone]
+}
+
 // Expected is the latency expected of an attempt: the average, decayed while the replica is unused, and no less than the age
 // of the oldest attempt without an answer.
 func (r *Replica) Expected(now time.Duration) time.Duration {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -134,6 +134,22 @@
 	}
 }
 
+// TestKeep: with hardly a connection for each node, only those to replicas in the own region are kept.
+func TestKeep(t *testing.T) {
+	set := newSet(entry("own", "a1"), entry("near", "a2"), entry("far", "b1"))
+	for share, kept := range map[int]map[string]bool{
+		1: {"own": true, "near": true, "far": false},
+		2: {"own": true, "near": true, "far": true},
+	} {
+		set.SetConnections(map[string]int{"s": share})
+		for id, want := range kept {
+			if got := set.Keep(set.Get(id)); got != want {
+				t.Errorf("share %d: keep %q is %v", share, id, got)
+			}
+		}
+	}
+}
+
 // TestVanished: with a settled store a vanished entry is gone at once; else it is a second choice for a while.
 func TestVanished(t *testing.T) {
 	set := newSet(entry("own", "a1"), entry("far", "b1"))
