Connections: where each node gets hardly one, near back ends get the larger share, and one connection rests at each

Cause: with a share of one, a second request at once went to another region, over a connection of its own; connections that rested after two at once stayed for seconds. Tests: TestShare, TestResting twice.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -52,8 +52,8 @@
 	Prepare func() (*http.Request, error)
 	// MaximumBody bounds the answer in bytes.
 	MaximumBody int64
-	// OneUse has the connection closed after the answer.
-	OneUse bool
+	// Resting is how many connections to the address may rest for later requests; one more is closed after its answer.
+	Resting int
 	// Trusted reports whether an answer belongs to the request; the connection is not used again if it does not.
 	Trusted func(status int, header http.Header) bool
 }
@@ -72,11 +72,11 @@
 	}
 	stop := context.AfterFunc(ctx, connection.abort)
 	result, reusable := connection.roundTrip(request)
-	if !stop() || !reusable || request.OneUse {
+	if !stop() || !reusable {
 		connection.close()
 		return result
 	}
-	p.put(request.Address, connection)
+	p.put(request, connection)
 	return result
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -59,7 +59,7 @@
 
 func request(address string) exchange.Request {
 	return exchange.Request{
-		Address: address, Deadline: time.Now().Add(time.Minute), ConnectTimeout: time.Minute, MaximumBody: 1000,
+		Address: address, Deadline: time.Now().Add(time.Minute), ConnectTimeout: time.Minute, MaximumBody: 1000, Resting: 8,
 		Prepare: func() (*http.Request, error) {
 			return &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}, nil
 		},
@@ -183,20 +183,22 @@
 	}
 }
 
-// TestOneUse: a connection that is not worth keeping is closed after the answer.
-func TestOneUse(t *testing.T) {
+// TestResting: no more connections rest than may; one more is closed after its answer.
+func TestResting(t *testing.T) {
 	s := serve(t, func(socket net.Conn, _ int64) bool {
 		respond(socket, "")
 		return true
 	})
-	pool := exchange.NewPool()
-	once := request(s.address())
-	once.OneUse = true
-	if result := pool.Do(context.Background(), once); result.Stage != exchange.Answered {
-		t.Errorf("%+v", result)
-	}
-	if pool.Open.Load() != 0 {
-		t.Error("the connection was kept")
+	for resting := range int64(2) {
+		pool := exchange.NewPool()
+		limited := request(s.address())
+		limited.Resting = int(resting)
+		if result := pool.Do(context.Background(), limited); result.Stage != exchange.Answered {
+			t.Errorf("%+v", result)
+		}
+		if got := pool.Open.Load(); got != resting {
+			t.Errorf("%d connections rest, %d may", got, resting)
+		}
 	}
 }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -83,12 +83,19 @@
 	return last
 }
 
-func (p *Pool) put(address string, c *connection) {
+// put has a connection rest, or closes it where as many rest already as may.
+func (p *Pool) put(request Request, c *connection) {
 	c.idleSince = time.Now()
 	_ = c.socket.SetDeadline(time.Time{})
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.idle[address] = append(p.idle[address], c)
+	kept := len(p.idle[request.Address]) < request.Resting
+	if kept {
+		p.idle[request.Address] = append(p.idle[request.Address], c)
+	}
+	p.mutex.Unlock()
+	if !kept {
+		c.close()
+	}
 }
 
 // Prune closes connections that have rested as long as they may, and all to addresses that are no longer in use.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"stiletrail/internal/membership"
 	"stiletrail/internal/message"
+	"stiletrail/internal/replica"
 	"stiletrail/internal/spread"
 )
 
@@ -141,13 +142,19 @@
 	} else {
 		g.takeTurns()
 	}
-	connections := map[string]int{}
+	near := 0
+	for _, member := range g.members.Members() {
+		if member.Region == g.members.Self().Region {
+			near++
+		}
+	}
+	shares := map[string]replica.Share{}
 	for _, service := range table.Services() {
 		if service.MaximumConnections > 0 {
-			connections[service.Name] = min(max(service.MaximumConnections/nodes, 1), most)
+			shares[service.Name] = replica.NewShare(service.MaximumConnections, nodes, near, most)
 		}
 	}
-	g.replicas.SetConnections(connections)
+	g.replicas.SetShares(shares)
 }
 
 // takeTurns has the nodes look at the store one after the other: with each some time after the one before it, a change that the
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -190,7 +190,7 @@
 	r.cancels[attempt] = cancel
 	send := Send{
 		Call: r.call, Attempt: attempt, Entry: attempt.Replica.Entry, Deadline: r.deadline,
-		OneUse: !r.gateway.replicas.Keep(attempt.Replica),
+		Resting: r.gateway.replicas.Resting(attempt.Replica),
 	}
 	go func() {
 		outcome := r.gateway.exchange(ctx, send)
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -15,8 +15,6 @@
 	coldFactor = 1.6
 	// forgetAfter is the time in which the latency of an unused replica halves, so that it is tried again.
 	forgetAfter = 2 * time.Second
-	// keepShare of a back end's connections per node is enough to keep some to far back ends for the next request.
-	keepShare = 2
 	// latencyGain is the weight of a new sample in the moving average.
 	latencyGain = 0.3
 )
@@ -31,12 +29,11 @@
 func (s *Set) Pick(now time.Duration, service string, excluded []*Replica) (best *Replica, busy bool) {
 	var bestScore float64
 	bestRank := rankNever
-	connections := s.connectionsOf(service)
 	for _, member := range s.byService[service] {
 		if !member.candidate() || slices.Contains(excluded, member) {
 			continue
 		}
-		if len(member.inFlight) >= connections {
+		if len(member.inFlight) >= s.connectionsTo(member) {
 			busy = true
 			continue
 		}
@@ -89,13 +86,6 @@
 	return s.settings.OtherRegion
 }
 
-// Keep reports whether a connection to a replica is worth keeping for the next request. Where the nodes together may have hardly
-// one connection each, only those to near replicas are: what rests at far ones, after a hedge, would take the place of
-// connections that other nodes need, and after a loss of power the back end counts it on for seconds.
-func (s *Set) Keep(r *Replica) bool {
-	return s.connectionsOf(r.Service) >= keepShare || s.near(r)
-}
-
 // near reports whether a replica is in the region of the node.
 func (s *Set) near(r *Replica) bool {
 	return r.Zone == s.places.Zone || s.places.Regions[r.Zone] == s.places.Regions[s.places.Zone]
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -85,8 +85,8 @@
 	random    *rand.Rand
 	byID      map[string]*Replica
 	byService map[string][]*Replica
-	// connections per back end by service, where they differ from the settings'.
-	connections map[string]int
+	// shares of the connections by service, where they differ from the settings'.
+	shares map[string]Share
 }
 
 // NewSet returns an empty set.
@@ -100,16 +100,6 @@
 // Reconfigure changes how replicas are chosen from now on.
 func (s *Set) Reconfigure(settings Settings, places Places) { s.settings, s.places = settings, places }
 
-// SetConnections sets how many attempts this node may have under way at one back end, by service.
-func (s *Set) SetConnections(connections map[string]int) { s.connections = connections }
-
-func (s *Set) connectionsOf(service string) int {
-	if limit, known := s.connections[service]; known {
-		return limit
-	}
-	return s.settings.Connections
-}
-
 // Len is the number of back ends, vanished ones in doubt included.
 func (s *Set) Len() int { return len(s.byID) }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -134,20 +134,47 @@
 	}
 }
 
-// TestKeep: with hardly a connection for each node, only those to replicas in the own region are kept.
-func TestKeep(t *testing.T) {
+// TestShare: where each node gets hardly one connection, the nodes near a back end get more of it than those far away.
+func TestShare(t *testing.T) {
+	for _, test := range []struct {
+		connections, nodes, near, most int
+		want                           replica.Share
+	}{
+		{41, 9, 3, 8, replica.Share{Near: 4, Far: 4}},
+		{400, 6, 2, 8, replica.Share{Near: 8, Far: 8}},
+		{76, 88, 29, 8, replica.Share{Near: 2, Far: 1}},
+		{67, 70, 22, 8, replica.Share{Near: 2, Far: 1}},
+		{10, 88, 29, 8, replica.Share{Near: 1, Far: 1}},
+		{76, 88, 1, 8, replica.Share{Near: 8, Far: 1}},
+	} {
+		if got := replica.NewShare(test.connections, test.nodes, test.near, test.most); got != test.want {
+			t.Errorf("%+v: got %+v", test, got)
+		}
+	}
+}
+
+// TestResting: where the share is not ample, one connection rests at a near replica and none at a far one, and the attempts under
+// way are bound by how far the replica is.
+func TestResting(t *testing.T) {
 	set := newSet(entry("own", "a1"), entry("near", "a2"), entry("far", "b1"))
-	for share, kept := range map[int]map[string]bool{
-		1: {"own": true, "near": true, "far": false},
-		2: {"own": true, "near": true, "far": true},
+	for share, resting := range map[replica.Share]map[string]int{
+		{Near: 2, Far: 1}: {"own": 1, "near": 1, "far": 0},
+		{Near: 3, Far: 3}: {"own": 3, "near": 3, "far": 3},
 	} {
-		set.SetConnections(map[string]int{"s": share})
-		for id, want := range kept {
-			if got := set.Keep(set.Get(id)); got != want {
-				t.Errorf("share %d: keep %q is %v", share, id, got)
+		set.SetShares(map[string]replica.Share{"s": share})
+		for id, want := range resting {
+			if got := set.Resting(set.Get(id)); got != want {
+				t.Errorf("share %+v: %d connections rest at %q", share, got, id)
 			}
 		}
 	}
+	set.SetShares(map[string]replica.Share{"s": {Near: 2, Far: 1}})
+	for _, id := range []string{"own", "far"} {
+		set.Get(id).Start(0)
+	}
+	if got := picked(set, 0, set.Get("near")); got != "own" {
+		t.Errorf("with one attempt at each: picked %q", got)
+	}
 }
 
 // TestVanished: with a settled store a vanished entry is gone at once; else it is a second choice for a while.
