--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -73,6 +73,7 @@
 	log := decisionlog.New(writer, level, loaded.Node)
 	pool := exchange.NewPool()
 	measured := telemetry.New(log)
+	pool.Connected = measured.Connected
 	store := platform.NewStoreClient(loaded.StoreAddress)
 	node := gateway.New(gateway.FromSettings(loaded), platform.NewBackEnds(pool), store, measured)
 	measured.Observe(telemetry.Source{
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -31,6 +31,8 @@
 	// Opened counts connections opened since the start; Open is how many there are.
 	Opened atomic.Int64
 	Open   atomic.Int64
+	// Connected, where set, is told how long each opening of a connection took.
+	Connected func(time.Duration)
 }
 
 // NewPool returns an empty pool.
@@ -54,11 +56,15 @@
 
 func (p *Pool) open(ctx context.Context, request Request) (*connection, error) {
 	timeout := min(request.ConnectTimeout, time.Until(request.Deadline))
+	started := time.Now()
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
 	socket, err := dialer.DialContext(ctx, "tcp4", request.Address)
 	if err != nil {
 		return nil, err
 	}
+	if p.Connected != nil {
+		p.Connected(time.Since(started))
+	}
 	p.Opened.Add(1)
 	p.Open.Add(1)
 	return newConnection(socket, func() { p.Open.Add(-1) }), nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,6 +45,11 @@
 	return result
 }
 
+// Refuse notes a call that is wrong by itself and was answered with a failure.
+func (g *Gateway) Refuse(call *Call, refusal *failure.Failure) {
+	g.journal.Request(call, &Result{Answer: forward.Answer{Failure: refusal}, Version: g.Version(), Arrived: g.now()})
+}
+
 func (g *Gateway) admit(ctx context.Context, call *Call, arrived time.Duration) Result {
 	table := g.table.Load()
 	if table == nil {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -29,12 +30,16 @@
 	set      *metrics.Set
 	request  *metrics.PrometheusHistogram
 	attempts map[forward.Purpose]*metrics.PrometheusHistogram
+	queue    *metrics.PrometheusHistogram
+	connect  *metrics.PrometheusHistogram
 }
 
 // New returns metrics that pass everything on to a journal.
 func New(journal gateway.Journal) *Metrics {
 	m := &Metrics{Journal: journal, set: metrics.NewSet(), attempts: map[forward.Purpose]*metrics.PrometheusHistogram{}}
 	m.request = m.set.NewPrometheusHistogramExt("stiletrail_request_seconds", latencyBuckets)
+	m.queue = m.set.NewPrometheusHistogramExt("stiletrail_queue_seconds", latencyBuckets)
+	m.connect = m.set.NewPrometheusHistogramExt("stiletrail_connect_seconds", latencyBuckets)
 	for _, purpose := range []forward.Purpose{forward.First, forward.Hedge, forward.Retry} {
 		name := fmt.Sprintf(`stiletrail_attempt_seconds{purpose=%q}`, purpose)
 		m.attempts[purpose] = m.set.NewPrometheusHistogramExt(name, latencyBuckets)
@@ -56,6 +61,9 @@
 	m.set.GetOrCreateCounter("stiletrail_shards_missing_total").Add(result.Missing)
 	for _, attempt := range result.Attempts {
 		m.attempt(attempt)
+		if attempt.Purpose == forward.First {
+			m.queue.Update((attempt.StartedAt - result.Arrived).Seconds())
+		}
 		if attempt.Outcome.Kind != forward.Answered && result.Denied != nil {
 			if denied := result.Denied(attempt); denied != "" {
 				m.count("stiletrail_extra_attempts_denied_total", "reason", string(denied))
@@ -73,6 +81,9 @@
 	}
 }
 
+// Connected takes in how long it took to open a connection to a back end.
+func (m *Metrics) Connected(elapsed time.Duration) { m.connect.Update(elapsed.Seconds()) }
+
 // Ejected implements gateway.Journal.
 func (m *Metrics) Ejected(attempt *forward.Attempt, outcome forward.Outcome) {
 	m.count("stiletrail_ejections_total", "outcome", outcome.Kind.String())
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -37,6 +37,9 @@
 		Outcome: forward.Outcome{Kind: forward.Answered},
 	}
 	measured.Request(&gateway.Call{}, &gateway.Result{Attempts: []*forward.Attempt{attempt}, Elapsed: 30 * time.Millisecond})
+	measured.Connected(7 * time.Millisecond)
+	first := &forward.Attempt{Replica: &replica.Replica{}, Purpose: forward.First, StartedAt: 40 * time.Millisecond}
+	measured.Request(&gateway.Call{}, &gateway.Result{Attempts: []*forward.Attempt{first}, Arrived: 10 * time.Millisecond})
 	measured.Request(&gateway.Call{}, &gateway.Result{Answer: forward.Answer{
 		Failure: failure.Refused(failure.Overloaded, "", 0), Reason: forward.AllRefused,
 	}})
@@ -44,9 +47,10 @@
 	measured.ServeHTTP(recorder, nil)
 	text := recorder.Body.String()
 	for _, want := range []string{
-		`stiletrail_requests_total{outcome="complete"} 1`, `stiletrail_requests_total{outcome="OVERLOADED"} 1`,
+		`stiletrail_requests_total{outcome="complete"} 2`, `stiletrail_requests_total{outcome="OVERLOADED"} 1`,
 		`stiletrail_request_ends_total{reason="all_refused"} 1`, `stiletrail_attempts_total{purpose="hedge"} 1`,
-		`stiletrail_attempt_seconds_count{purpose="hedge"} 1`, `stiletrail_request_seconds_count 2`,
+		`stiletrail_attempt_seconds_count{purpose="hedge"} 1`, `stiletrail_request_seconds_count 3`,
+		`stiletrail_queue_seconds_sum 0.03`, `stiletrail_connect_seconds_sum 0.007`,
 		`stiletrail_ready 0`, `stiletrail_back_end_connections 3`, `stiletrail_log_lines_dropped_total 2`,
 		`stiletrail_back_ends{state="ready"} 0`, `process_resident_memory_bytes`,
 	} {
@@ -54,7 +58,7 @@
 			t.Errorf("%q is missing in\n%s", want, text)
 		}
 	}
-	if journal.requests != 2 {
+	if journal.requests != 3 {
 		t.Errorf("%d requests were passed on", journal.requests)
 	}
 }
