Hedges: the last extra attempts of a window are kept for what is late half way to the last moment that saves the answer

Cause: a node among 300 may send two or three extra attempts a shard and window; they went at 16 ms to shards that answered at 18 to 20 (a new connection against kept ones), and stragglers of 300 ms were then denied (no_budget in 32 of 148 logged fan-outs of one node group). Where the budget is ample nothing changes. Test: TestLateAgainstSiblings; TestPausedReplica failed with a bound on the allowance of the window in place of what is left of it.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -14,6 +14,12 @@
 	// beyond the time that any answer of its replica takes.
 	siblingFactor = 2
 	siblingSlack  = 12 * time.Millisecond
+	// lastExtras that the budget of a service allows are not spent on shards that are just late. hedgeRoom is kept for the way of a
+	// hedge to another region and back, over a new connection. hedgePatience is where between the moment at which a shard is late
+	// and the last one at which a hedge still saves the answer it is hedged then.
+	lastExtras    = 2
+	hedgeRoom     = 30 * time.Millisecond
+	hedgePatience = 0.5
 	// UnsentTries bounds how often a shard looks for another replica after attempts of which no byte was written.
 	UnsentTries = 3
 )
@@ -61,14 +67,25 @@
 	if r.siblings == 0 {
 		r.siblings = max(now-attempt.StartedAt-attempt.Replica.Floor(), 0)
 	}
-	late := siblingFactor*r.siblings + siblingSlack
 	for _, open := range r.attempts {
 		if s := &r.shards[open.Shard]; open.live && s.live == 1 {
-			s.hedgeAt = min(s.hedgeAt, max(now, open.StartedAt+open.Replica.Floor()+late))
+			s.hedgeAt = min(s.hedgeAt, max(now, open.StartedAt+open.Replica.Floor()+r.late(s)))
 		}
 	}
 }
 
+// late is how long beyond its floor an attempt may take before its shard is hedged. The last extra attempts that the budget allows,
+// which is soon reached where very many nodes share it, are kept for shards that are still not answered half way to the last moment
+// at which a hedge saves the answer.
+func (r *Request) late(s *shard) time.Duration {
+	late := siblingFactor*r.siblings + siblingSlack
+	latest := r.target - r.startedAt - late - hedgeRoom
+	if latest > late && r.world.ExtrasLeft(s.service) < lastExtras {
+		late += time.Duration(hedgePatience * float64(latest-late))
+	}
+	return late
+}
+
 // mayHedge: one attempt is under way and the route allows another.
 func (r *Request) mayHedge(s *shard) bool {
 	return r.settings.HedgeShare > 0 && r.route.Repeatable && s.response == nil && !s.failed &&
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -19,6 +19,8 @@
 	Pick(service string, excluded []*replica.Replica) (chosen *replica.Replica, busy bool)
 	// SpendHedge takes an extra attempt that only saves time out of the service's budget.
 	SpendHedge(service string) bool
+	// ExtrasLeft is how many extra attempts the service's budget allows now.
+	ExtrasLeft(service string) float64
 	// SpendRetry takes an extra attempt after a failure out of the service's budget.
 	SpendRetry(service string) bool
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -22,6 +22,8 @@
 	replicas map[string][]*replica.Replica
 	full     map[string]bool
 	budget   int
+	// few: the budget allows hardly any more extra attempts.
+	few bool
 }
 
 func newWorld(budget int, services ...string) *fakeWorld {
@@ -52,6 +54,14 @@
 	return w.budget >= 0
 }
 
+// ExtrasLeft implements forward.World.
+func (w *fakeWorld) ExtrasLeft(string) float64 {
+	if w.few {
+		return 1
+	}
+	return 100
+}
+
 // SpendHedge implements forward.World.
 func (w *fakeWorld) SpendHedge(string) bool { return w.spend() }
 
@@ -243,6 +253,28 @@
 	}
 }
 
+// TestLateAgainstSiblings: once half of the shards have answered, one that takes much longer is hedged; where the budget allows hardly
+// any more extra attempts that is later, here at the share of the target at which any shard is hedged.
+func TestLateAgainstSiblings(t *testing.T) {
+	for few, want := range map[bool]time.Duration{false: 22 * millisecond, true: 50 * millisecond} {
+		world := newWorld(9, "a", "b")
+		world.few = few
+		route := fanOut("a", "b")
+		s := start(t, route, world)
+		s.at(5 * millisecond)
+		s.end(0, part("s", ""))
+		for now := 5 * millisecond; len(s.sent) == 2 && now < route.TargetLatency; now += millisecond {
+			s.at(now)
+			if len(s.sent) > 2 && now != want {
+				t.Errorf("few extras %v: hedged at %s, want %s", few, now, want)
+			}
+		}
+		if len(s.sent) != 3 {
+			t.Errorf("few extras %v: not hedged", few)
+		}
+	}
+}
+
 // TestNoHedge: where it is not allowed or there is no budget.
 func TestNoHedge(t *testing.T) {
 	once := single(true)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,6 +200,11 @@
 	return w.gateway.budget(service).Spend(w.now, w.gateway.settings.Load().HedgeReserve, w.gateway.retrySlack())
 }
 
+// ExtrasLeft implements forward.World.
+func (w world) ExtrasLeft(service string) float64 {
+	return w.gateway.budget(service).Left(w.now, w.gateway.retrySlack())
+}
+
 // SpendRetry implements forward.World.
 func (w world) SpendRetry(service string) bool {
 	return w.gateway.budget(service).Spend(w.now, 0, w.gateway.retrySlack())
--- a/internal/limit/sliding.go
+++ b/internal/limit/sliding.go
@@ -40,10 +40,10 @@
 	return true
 }
 
-// Left is the number of extra attempts that may be spent now.
-func (b *SlidingBudget) Left(now time.Duration) int {
+// Left is the number of extra attempts that may be spent now, with this node's slack, at least 0.
+func (b *SlidingBudget) Left(now time.Duration, slack float64) float64 {
 	b.bucket(now)
-	return max(0, int(b.share*float64(sum(b.requests)))-sum(b.extras))
+	return max(0, b.share*float64(sum(b.requests))+slack-float64(sum(b.extras)))
 }
 
 // bucket clears what has left the window and returns the index of the present part.
--- a/internal/limit/sliding_test.go
+++ b/internal/limit/sliding_test.go
@@ -66,17 +66,17 @@
 	for budget.Spend(0, 0.5, 0) {
 		continue
 	}
-	if left := budget.Left(0); left != 5 {
-		t.Errorf("%d left, 5 were kept back of 10", left)
+	if left := budget.Left(0, 0); left != 5 {
+		t.Errorf("%v left, 5 were kept back of 10", left)
 	}
 	for budget.Spend(0, 0, 0) {
 		continue
 	}
 	budget.Request(9*time.Second, 10)
-	if budget.Left(9*time.Second) != 2 {
-		t.Errorf("%d left of 12 with 10 spent", budget.Left(9*time.Second))
+	if budget.Left(9*time.Second, 0) != 2 {
+		t.Errorf("%v left of 12 with 10 spent", budget.Left(9*time.Second, 0))
 	}
-	if budget.Left(10*time.Second) != 2 {
-		t.Errorf("%d left after the first requests left the window", budget.Left(10*time.Second))
+	if budget.Left(10*time.Second, 0) != 2 {
+		t.Errorf("%v left after the first requests left the window", budget.Left(10*time.Second, 0))
 	}
 }
