--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,6 +20,13 @@
 // farPickEvery single peers one is picked anywhere.
 const farPickEvery = 4
 
+const (
+	// youngFor is how long after a start back ends may count connections that died with an earlier life.
+	youngFor = 8 * time.Second
+	// youngPart of the connections is what nodes share meanwhile.
+	youngPart = 2
+)
+
 // peerTick is the pause between looks at what is due among peers.
 const peerTick = 200 * time.Millisecond
 
@@ -64,13 +71,17 @@
 // tickPeers drives membership and spreading until the context ends.
 func (g *Gateway) tickPeers(ctx context.Context) {
 	var version uint64
-	joined := false
+	joined, young := false, true
 	for ctx.Err() == nil {
 		pause(ctx, peerTick)
 		g.mutex.Lock()
 		now := g.now()
 		g.tellMembers(g.members.Tick(now))
 		g.tell(g.view.Tick(now, g.follower.Served(now)))
+		if g.young(now) != young {
+			young = false
+			g.shareOut()
+		}
 		if g.members.Version() != version || g.members.Joined(now) != joined {
 			version, joined = g.members.Version(), g.members.Joined(now)
 			g.nodes = 0
@@ -148,15 +159,22 @@
 			near++
 		}
 	}
+	part := 1
+	if g.young(g.now()) {
+		part = youngPart
+	}
 	shares := map[string]replica.Share{}
 	for _, service := range table.Services() {
 		if service.MaximumConnections > 0 {
-			shares[service.Name] = replica.NewShare(service.MaximumConnections, nodes, near, most)
+			shares[service.Name] = replica.NewShare(service.MaximumConnections/part, nodes, near, most)
 		}
 	}
 	g.replicas.SetShares(shares)
 }
 
+// young reports whether back ends may still count connections of an earlier life of this node, or of others that lost power with it.
+func (g *Gateway) young(now time.Duration) bool { return now < youngFor }
+
 // takeTurns has the nodes look at the store one after the other: with each some time after the one before it, a change that the
 // watches of all have missed is found soon, and told.
 func (g *Gateway) takeTurns() {
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -12,6 +12,7 @@
 	"stiletrail/internal/gateway"
 	"stiletrail/internal/membership"
 	"stiletrail/internal/message"
+	"stiletrail/internal/routing"
 	"stiletrail/internal/settings"
 )
 
@@ -197,3 +198,34 @@
 		}
 	})
 }
+
+// TestYoungShare: a node that has just started uses half of its share of a back end's connections, since the back end may still
+// count those of an earlier life; later it uses all of it.
+func TestYoungShare(t *testing.T) {
+	playCluster(t, 4, func(t *testing.T, c *cluster) {
+		shared := configuration(2)
+		shared.Configuration.Services = []routing.Service{{Name: "s0", MaximumConnections: 16}}
+		c.store.put(shared)
+		c.contexts[2]()
+		c.start(2)
+		c.backEnds.set(after(900 * time.Millisecond))
+		for _, step := range []struct {
+			wait time.Duration
+			want int
+		}{{3 * time.Second, 2}, {8 * time.Second, 4}} {
+			time.Sleep(step.wait)
+			before := len(c.backEnds.sent())
+			var calls sync.WaitGroup
+			for range 6 {
+				calls.Go(func() {
+					c.gateways[2].Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/one/x"})
+				})
+			}
+			time.Sleep(50 * time.Millisecond)
+			if got := len(c.backEnds.sent()) - before; got != step.want {
+				t.Errorf("%d requests at once at a back end after %s more, want %d", got, step.wait, step.want)
+			}
+			calls.Wait()
+		}
+	})
+}
