--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -54,6 +54,8 @@
 	MaximumBody int64
 	// Resting is how many connections to the address may rest for later requests; one more is closed after its answer.
 	Resting int
+	// RestFor bounds how long it rests, beside what the back end says; 0 does not.
+	RestFor time.Duration
 	// Trusted reports whether an answer belongs to the request; the connection is not used again if it does not.
 	Trusted func(status int, header http.Header) bool
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -202,6 +202,24 @@
 	}
 }
 
+// TestRestFor: a connection that has rested as long as the request allowed is not used again.
+func TestRestFor(t *testing.T) {
+	for restFor, connections := range map[time.Duration]int64{time.Nanosecond: 2, time.Hour: 1, 0: 1} {
+		s := serve(t, func(socket net.Conn, _ int64) bool {
+			respond(socket, "")
+			return true
+		})
+		pool := exchange.NewPool()
+		bounded := request(s.address())
+		bounded.RestFor = restFor
+		pool.Do(context.Background(), bounded)
+		pool.Do(context.Background(), bounded)
+		if got := s.connections.Load(); got != connections {
+			t.Errorf("resting for %s: %d connections, want %d", restFor, got, connections)
+		}
+	}
+}
+
 // TestPrune: connections to addresses out of use are closed.
 func TestPrune(t *testing.T) {
 	s := serve(t, func(socket net.Conn, _ int64) bool {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -93,6 +93,9 @@
 func (p *Pool) put(request Request, c *connection) {
 	c.idleSince = time.Now()
 	_ = c.socket.SetDeadline(time.Time{})
+	if request.RestFor > 0 {
+		c.idleFor = min(c.idleFor, request.RestFor)
+	}
 	p.mutex.Lock()
 	kept := len(p.idle[request.Address]) < request.Resting
 	if kept {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,8 +41,8 @@
 	Entry replica.Entry
 	// Deadline is when the work is of no more use. What is left of it is told at the moment of the write.
 	Deadline time.Time
-	// Resting is how many connections to the back end may rest for later requests.
-	Resting int
+	// Rest says which connections to the back end may rest for later requests.
+	Rest replica.Rest
 }
 
 // BackEnds carries out attempts. One attempt reaches a back end at most once.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -195,7 +195,7 @@
 	r.cancels[attempt] = cancel
 	send := Send{
 		Call: r.call, Attempt: attempt, Entry: attempt.Replica.Entry, Deadline: r.deadline,
-		Resting: r.gateway.replicas.Resting(attempt.Replica),
+		Rest: r.gateway.replicas.Rest(attempt.Replica),
 	}
 	go func() {
 		outcome := r.gateway.exchange(ctx, send)
--- a/internal/replica/share.go
+++ b/internal/replica/share.go
@@ -1,5 +1,7 @@
 package replica
 
+import "time"
+
 // Share is what one node may have of the connections of each back end of a service.
 type Share struct {
 	// Near and Far bound the attempts under way at a back end in the own region and at one elsewhere.
@@ -12,6 +14,8 @@
 	ampleShare = 2
 	// farPart of a back end's connections is left to nodes of other regions where there is no ample share.
 	farPart = 8
+	// farRest is how long a connection to a far replica rests where the share is not ample.
+	farRest = time.Second
 )
 
 // NewShare divides the connections that a back end accepts among nodes, so many of them in its own region. Where that leaves hardly
@@ -47,15 +51,24 @@
 	return s.share(r.Service).Far
 }
 
-// Resting is how many connections to a replica are worth keeping for later requests. Where the share is not ample, it is one to a
-// near replica and none to a far one: what rests takes the place of connections that other nodes need, and after a loss of power
-// the back end counts it on for seconds.
-func (s *Set) Resting(r *Replica) int {
-	if share := s.share(r.Service); share.Far >= ampleShare {
-		return share.Near
-	}
-	if s.near(r) {
-		return 1
+// Rest says which connections to a replica are worth keeping for later requests.
+type Rest struct {
+	// Most connections rest at a time.
+	Most int
+	// For is how long one rests at most; 0 leaves that to the back end.
+	For time.Duration
+}
+
+// Rest of connections to a replica. Where the share is not ample, one rests, and at a far replica only for a while: what rests takes the
+// place of connections that other nodes need, and after a loss of power the back end counts it on for seconds. None at all would
+// have each hedge open one, which under load takes the slots that the hedge is for.
+func (s *Set) Rest(r *Replica) Rest {
+	share := s.share(r.Service)
+	switch {
+	case share.Far >= ampleShare:
+		return Rest{Most: share.Near}
+	case s.near(r):
+		return Rest{Most: 1}
 	}
-	return 0
+	return Rest{Most: 1, For: farRest}
 }
