--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/membership"
 	"stiletrail/internal/message"
 	"stiletrail/internal/replica"
@@ -22,7 +23,7 @@
 
 const (
 	// youngFor is how long after a start back ends may count connections that died with an earlier life.
-	youngFor = 8 * time.Second
+	youngFor = 8 * clock.Second
 	// youngPart of the connections is what nodes share meanwhile.
 	youngPart = 2
 )
@@ -173,7 +174,7 @@
 }
 
 // young reports whether back ends may still count connections of an earlier life of this node, or of others that lost power with it.
-func (g *Gateway) young(now time.Duration) bool { return now < youngFor }
+func (g *Gateway) young(now time.Duration) bool { return clock.Of(now) < youngFor }
 
 // takeTurns has the nodes look at the store one after the other: with each some time after the one before it, a change that the
 // watches of all have missed is found soon, and told.
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -94,4 +94,39 @@
 		"if open, _ := r.open(); open >= r.required() {", "if true {",
 		"./platform", "TestRefusedBeforeAnythingIsSent",
 	},
+	{
+		"a young node uses its whole share of connections", "internal/gateway/peers.go",
+		"		part = youngPart\n", "		part = 1\n",
+		"./internal/gateway", "TestYoungShare",
+	},
+	{
+		"near back ends get no larger share", "internal/replica/share.go",
+		"Near: min(max(near, each), most)", "Near: min(max(near, each), each)",
+		"./internal/replica", "TestShare",
+	},
+	{
+		"connections to far back ends rest like others", "internal/replica/share.go",
+		"return Rest{Most: 1, For: farRest}", "return Rest{Most: 1}",
+		"./internal/replica", "TestRest",
+	},
+	{
+		"any number of connections rests", "internal/exchange/pool.go",
+		"kept := len(p.idle[request.Address]) < request.Resting", "kept := true",
+		"./internal/exchange", "TestResting",
+	},
+	{
+		"a node spreads over all near replicas", "internal/replica/subset.go",
+		"		r.outside = true\n", "		r.outside = false\n",
+		"./internal/replica", "TestSubset",
+	},
+	{
+		"the last extra attempts go to shards that are just late", "internal/forward/attempts.go",
+		"r.world.ExtrasLeft(s.service) < lastExtras", "false",
+		"./internal/forward", "TestLateAgainstSiblings",
+	},
+	{
+		"a request refused by itself leaves no line", "platform/ingress.go",
+		"		i.gateway.Refuse(&gateway.Call{ID: r.Header.Get(headerRequestID)}, refusal.Failure)\n", "",
+		"./platform", "TestEachCodeIsLogged",
+	},
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/replica"
 )
 
@@ -158,7 +159,7 @@
 func TestRest(t *testing.T) {
 	set := newSet(entry("own", "a1"), entry("near", "a2"), entry("far", "b1"))
 	for share, resting := range map[replica.Share]map[string]replica.Rest{
-		{Near: 2, Far: 1}: {"own": {Most: 1}, "near": {Most: 1}, "far": {Most: 1, For: time.Second}},
+		{Near: 2, Far: 1}: {"own": {Most: 1}, "near": {Most: 1}, "far": {Most: 1, For: clock.Second}},
 		{Near: 3, Far: 3}: {"own": {Most: 3}, "near": {Most: 3}, "far": {Most: 3}},
 	} {
 		set.SetShares(map[string]replica.Share{"s": share})
--- a/internal/replica/share.go
+++ b/internal/replica/share.go
@@ -1,6 +1,6 @@
 package replica
 
-import "time"
+import "stiletrail/internal/clock"
 
 // Share is what one node may have of the connections of each back end of a service.
 type Share struct {
@@ -15,7 +15,7 @@
 	// farPart of a back end's connections is left to nodes of other regions where there is no ample share.
 	farPart = 8
 	// farRest is how long a connection to a far replica rests where the share is not ample.
-	farRest = time.Second
+	farRest = clock.Second
 )
 
 // NewShare divides the connections that a back end accepts among nodes, so many of them in its own region. Where that leaves hardly
@@ -56,7 +56,7 @@
 	// Most connections rest at a time.
 	Most int
 	// For is how long one rests at most; 0 leaves that to the back end.
-	For time.Duration
+	For clock.Ms
 }
 
 // Rest of connections to a replica. Where the share is not ample, one rests, and at a far replica only for a while: what rests takes the
