--- /dev/null
+++ b/internal/simulation/storecalls.go
@@ -0,0 +1,114 @@
+package simulation
+
+import (
+	"time"
+
+	"stiletrail/internal/engine"
+	"stiletrail/internal/platform"
+	"stiletrail/internal/rollout"
+)
+
+// storeDelay is the time of a request to the store; false where it does not get there.
+func (w *World) storeDelay(n *simNode) (time.Duration, bool) {
+	w.storeRequests++
+	if w.storeDown || !w.reachable(n.zone.Name, "") {
+		return 0, false
+	}
+	return w.jitter(storeLatency) + w.storeSlow, true
+}
+
+func (w *World) readStore(n *simNode, read engine.StoreRead) {
+	delay, reached := w.storeDelay(n)
+	if !reached || delay > storeTimeout {
+		w.after(w.failDelay(), func() {
+			w.step(n, func() engine.Output {
+				return n.engine.StoreReadDone(w.now, read.Operation, rollout.Refused, platform.Entry{})
+			})
+		})
+		return
+	}
+	w.after(delay, func() {
+		entry, _ := w.store.Get(platform.ServicePrefix + read.Service)
+		w.step(n, func() engine.Output { return n.engine.StoreReadDone(w.now, read.Operation, rollout.Done, entry) })
+	})
+}
+
+// failDelay is how long a failing request to the store takes: refused at once, or a timeout.
+func (w *World) failDelay() time.Duration {
+	if w.random.IntN(2) == 0 {
+		return storeLatency
+	}
+	return storeTimeout
+}
+
+func (w *World) writeStore(n *simNode, write engine.StoreWrite) {
+	delay, reached := w.storeDelay(n)
+	done := func(after time.Duration, outcome rollout.Outcome, swapped bool) {
+		w.after(after, func() {
+			w.step(n, func() engine.Output { return n.engine.StoreWriteDone(w.now, write.Operation, outcome, swapped) })
+		})
+	}
+	if !reached {
+		done(w.failDelay(), rollout.Unknown, false)
+		return
+	}
+	late := w.chance(w.Chances.StoreLate)
+	if late {
+		w.Faults++
+		delay += storeTimeout + time.Duration(w.random.Int64N(int64(3*time.Second)))
+	}
+	if delay > storeTimeout {
+		done(storeTimeout, rollout.Unknown, false)
+	}
+	lost := w.chance(w.Chances.StoreAnswerLost)
+	w.after(delay, func() {
+		swapped := w.swap(write)
+		switch {
+		case delay > storeTimeout:
+		case lost:
+			w.Faults++
+			done(0, rollout.Unknown, false)
+		default:
+			done(0, rollout.Done, swapped)
+		}
+	})
+}
+
+// swap carries out a write and tells the watchers.
+func (w *World) swap(write engine.StoreWrite) bool {
+	entry, swapped := w.store.CompareAndSwap(platform.ServicePrefix+write.Document.Service, write.EntryVersion, write.Document.Encode())
+	w.note("swap", write.Document.Service, write.Document.Version, swapped)
+	if !swapped {
+		return false
+	}
+	w.Check.written(write.Document)
+	for _, address := range w.live {
+		n := w.nodes[address]
+		if !n.engine.Relay() || w.chance(w.Chances.EventLost) || !w.reachable(n.zone.Name, "") {
+			continue
+		}
+		w.after(w.jitter(storeLatency), func() {
+			w.step(n, func() engine.Output { return n.engine.StoreChanged(w.now, entry) })
+		})
+	}
+	return true
+}
+
+func (w *World) listStore(n *simNode) {
+	delay, reached := w.storeDelay(n)
+	if !reached || delay > storeTimeout {
+		w.after(w.failDelay(), func() {
+			w.step(n, func() engine.Output { return n.engine.StoreListed(w.now, nil, false) })
+		})
+		return
+	}
+	w.after(delay/2, func() {
+		entries := w.store.List(platform.ServicePrefix)
+		for i := range entries {
+			entries[i].Value = nil
+		}
+		w.after(delay/2, func() {
+			w.step(n, func() engine.Output { return n.engine.StoreListed(w.now, entries, true) })
+		})
+	})
+}
