--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -34,6 +36,7 @@
 	Total    int      `json:"total"`
 	Elapsed  int64    `json:"elapsed_ms"`
 	Age      int64    `json:"age_ms"`
+	Items    int      `json:"items"`
 }
 
 // Report is what the logs tell of a request, in the order in which it happened.
@@ -90,7 +93,8 @@
 	return lines, nil
 }
 
-// background is what the node of a request believed when it decided: the last line of each matter before the request.
+// background is what the node of a request believed when it decided: the last line of each matter before the request. What it believed
+// in an earlier life is left out, but for how it stood with the store.
 func background(before []line, request *line) []string {
 	last := map[string]*line{}
 	var order []string
@@ -100,6 +104,10 @@
 		if known.Node != request.Node || matter == "" {
 			continue
 		}
+		if known.Event == decisionlog.EventStart {
+			order = slices.DeleteFunc(order, func(earlier string) bool { return earlier != matterStore })
+			maps.DeleteFunc(last, func(earlier string, _ *line) bool { return earlier != matterStore })
+		}
 		if last[matter] == nil {
 			order = append(order, matter)
 		}
@@ -113,13 +121,18 @@
 	return lines
 }
 
+// matterStore is how a node stands with the store.
+const matterStore = "store"
+
 // matterOf names what a line is about, where it bears on the request.
 func matterOf(known, request *line) string {
 	switch known.Event {
 	case decisionlog.EventStart, decisionlog.EventStop, decisionlog.EventMembers:
 		return known.Event
 	case decisionlog.EventStoreLost, decisionlog.EventStoreRegained:
-		return "store"
+		return matterStore
+	case decisionlog.EventListed:
+		return known.Event
 	case decisionlog.EventConfiguration:
 		return "configuration"
 	case decisionlog.EventBackEnd, decisionlog.EventVanished, decisionlog.EventEjected:
@@ -146,6 +159,7 @@
 	add("back_end", known.BackEnd, known.BackEnd != "")
 	add("outcome", known.Outcome, known.Outcome != "")
 	add("reason", known.Reason, known.Reason != "")
+	add("items", known.Items, known.Items > 0)
 	add("age_ms", known.Age, known.Age != 0)
 	return strings.Join(parts, " ")
 }
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,34 @@
+package explain_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"stiletrail/internal/explain"
+)
+
+// TestEarlierLife: what a node believed before it was started anew explains nothing, but for how it stood with the store.
+func TestEarlierLife(t *testing.T) {
+	log := strings.Join([]string{
+		`{"time":"01","event":"start","node":"n"}`,
+		`{"time":"02","event":"configuration_in_force","node":"n","version":3}`,
+		`{"time":"03","event":"back_end","node":"n","service":"s","back_end":"b","outcome":"ready"}`,
+		`{"time":"04","event":"store_lost","node":"n","reason":"unavailable"}`,
+		`{"time":"05","event":"start","node":"n"}`,
+		`{"time":"06","event":"store_listed","node":"n","items":12,"revision":9}`,
+		`{"time":"07","event":"configuration_in_force","node":"other","version":4}`,
+		`{"time":"08","event":"request","node":"n","request":"r","outcome":"NOT_READY","attempts":["s b first 0- open"]}`,
+	}, "\n")
+	report, err := explain.Request("r", []io.Reader{strings.NewReader(log)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{
+		"believed  04 n store_lost reason=unavailable", "believed  05 n start", "believed  06 n store_listed revision=9 items=12",
+		"request   08 n route= version=0", "attempt   s b first 0- open", "answered  NOT_READY after 0 ms",
+	}
+	if got := strings.Join(report.Lines, "\n"); got != strings.Join(want, "\n") {
+		t.Errorf("told\n%s\nwant\n%s", got, strings.Join(want, "\n"))
+	}
+}
