--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,8 +24,9 @@
 const (
 	// youngFor is how long after a start back ends may count connections that died with an earlier life.
 	youngFor = 8 * clock.Second
-	// youngPart of the connections is what nodes share meanwhile.
-	youngPart = 2
+	// youngPart of the connections is what nodes share meanwhile, if at least one in togetherPart of them started with it.
+	youngPart    = 2
+	togetherPart = 3
 )
 
 // peerTick is the pause between looks at what is due among peers.
@@ -80,7 +81,7 @@
 		g.tellMembers(g.members.Tick(now))
 		g.tell(g.view.Tick(now, g.follower.Served(now)))
 		if g.young(now) != young {
-			young = false
+			young = !young
 			g.shareOut()
 		}
 		if g.members.Version() != version || g.members.Joined(now) != joined {
@@ -173,8 +174,22 @@
 	g.replicas.SetShares(shares)
 }
 
-// young reports whether back ends may still count connections of an earlier life of this node, or of others that lost power with it.
-func (g *Gateway) young(now time.Duration) bool { return clock.Of(now) < youngFor }
+// young reports whether back ends may still count many connections of earlier lives: this node has just started, and so have many
+// others, as after a loss of power. What a node that was started alone has left behind is little.
+func (g *Gateway) young(now time.Duration) bool {
+	if clock.Of(now) >= youngFor {
+		return false
+	}
+	members := g.members.Members()
+	together := 0
+	for _, m := range members {
+		// An incarnation begins as the time of day of the start, in milliseconds.
+		if m.Incarnation+uint64(youngFor) >= g.members.Self().Incarnation {
+			together++
+		}
+	}
+	return together*togetherPart >= len(members)
+}
 
 // takeTurns has the nodes look at the store one after the other: with each some time after the one before it, a change that the
 // watches of all have missed is found soon, and told.
