A shard that lacks a replica, room or budget is tried again after a pause while there is time

Change: a shard without an attempt under way pauses (25 ms, doubled to 200 ms, not before one of its replicas is out of its ejection) and is tried again until the deadline; with enough parts in, until the target. The first moment at which nothing can come any more is answered at once as before. A request goes to no more than the route's number of back ends: once those are asked, it goes again to one of them. An attempt in the place of a paid one that never arrived needs no budget.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -54,12 +54,12 @@
 	switch {
 	case r.answered == len(r.shards):
 		r.succeed(Complete)
-	case open == 0 && enough:
-		r.succeed(ShardsFailed)
 	case r.answered+open < required:
 		r.fail(now)
 	case now >= r.target && enough && r.settings.EarlyFinish && r.route.FansOut():
 		r.succeed(TargetReached)
+	case enough && !r.worthWaiting():
+		r.succeed(ShardsFailed)
 	case now >= r.deadline && enough:
 		r.succeed(DeadlineCame)
 	case now >= r.deadline:
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"stiletrail/internal/replica"
+)
 
 // How attempts are spaced.
 const (
@@ -20,14 +24,12 @@
 	lastExtras    = 2
 	hedgeRoom     = 30 * time.Millisecond
 	hedgePatience = 0.5
-	// UnsentTries bounds how often a shard looks for another replica after attempts of which no byte was written.
-	UnsentTries = 3
 )
 
 // try sends a shard's request to the best replica that was not tried yet.
 func (r *Request) try(now time.Duration, number int, purpose Purpose) bool {
 	s := &r.shards[number]
-	chosen, busy := r.world.Pick(s.service, s.tried)
+	chosen, busy := r.world.Pick(s.service, r.choice(s))
 	s.waiting = chosen == nil && busy && purpose == First
 	if s.waiting {
 		s.wait = min(max(2*s.wait, firstWait), longestWait)
@@ -37,17 +39,33 @@
 		s.failed = s.live == 0 && !s.waiting
 		return false
 	}
+	r.send(now, number, chosen, purpose)
+	return true
+}
+
+// choice of replicas for the next attempt at a shard: none that was tried since the last pause, and none that was not asked yet
+// where as many were asked as the route allows.
+func (r *Request) choice(s *shard) replica.Choice {
+	choice := replica.Choice{Excluded: s.tried}
+	if distinct(s.asked) >= r.route.MaximumAttempts {
+		choice.Only = s.asked
+	}
+	return choice
+}
+
+func (r *Request) send(now time.Duration, number int, chosen *replica.Replica, purpose Purpose) {
+	s := &r.shards[number]
 	attempt := &Attempt{
 		Number: len(r.attempts), Shard: number, Service: s.service, Replica: chosen, Purpose: purpose, StartedAt: now, live: true,
 	}
 	r.attempts = append(r.attempts, attempt)
 	s.tried = append(s.tried, chosen)
+	s.asked = append(s.asked, chosen)
 	s.sent++
 	s.live++
 	r.anySent = true
 	s.hedgeAt = now + r.hedgeDelay()
 	r.actions = append(r.actions, Action{Send: attempt})
-	return true
 }
 
 // hedgeDelay is a share of the target latency. That is the latest moment at which a hedge still saves the answer; a shard whose
@@ -95,7 +113,7 @@
 func (r *Request) hedge(now time.Duration, number int) {
 	s := &r.shards[number]
 	s.hedgeAt = now + hedgeAgain
-	chosen, busy := r.world.Pick(s.service, s.tried)
+	chosen, busy := r.world.Pick(s.service, r.choice(s))
 	switch {
 	case busy:
 		s.denied = DeniedBusy
@@ -105,41 +123,9 @@
 		s.denied = DeniedBudget
 	default:
 		s.denied = ""
-		r.try(now, number, Hedge)
-	}
-}
-
-// tryAgain decides what becomes of a shard whose attempt failed: another attempt under way may still answer it, another
-// replica is asked if that is safe and allowed, or the shard has failed.
-func (r *Request) tryAgain(now time.Duration, number int) {
-	s := &r.shards[number]
-	if s.live > 0 {
-		return
+		s.paid++
+		r.send(now, number, chosen, Hedge)
 	}
-	if !r.mayTryAgain(now, s) {
-		s.failed = true
-		return
-	}
-	r.try(now, number, Retry)
-}
-
-func (r *Request) mayTryAgain(now time.Duration, s *shard) bool {
-	kind := s.last.Kind
-	if kind == Expired || now >= r.deadline || s.sent >= r.route.MaximumAttempts {
-		return false
-	}
-	// Safe: a request that is not repeatable goes out again only with proof that it did not run.
-	if !r.route.Repeatable && !kind.NotRun() {
-		return false
-	}
-	if kind == NotSent {
-		return len(s.tried) <= UnsentTries
-	}
-	if !r.world.SpendRetry(s.service) {
-		s.denied = DeniedBudget
-		return false
-	}
-	return true
 }
 
 func (r *Request) cancelShard(number int) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,8 +15,10 @@
 
 // World is what a request needs of the node it runs on.
 type World interface {
-	// Pick returns a replica of the service, none of those excluded, or nil; busy is set where each has its attempts.
-	Pick(service string, excluded []*replica.Replica) (chosen *replica.Replica, busy bool)
+	// Pick returns a replica of the service that the choice allows, or nil; busy is set where each has its attempts.
+	Pick(service string, choice replica.Choice) (chosen *replica.Replica, busy bool)
+	// Recovers returns the first moment at which one of the replicas that the choice allows is not ejected; false if there is none.
+	Recovers(service string, choice replica.Choice) (at time.Duration, known bool)
 	// SpendHedge takes an extra attempt that only saves time out of the service's budget.
 	SpendHedge(service string) bool
 	// ExtrasLeft is how many extra attempts the service's budget allows now.
@@ -31,6 +33,8 @@
 	HedgeShare float64
 	// EarlyFinish answers at the target latency with what is there, where that is enough.
 	EarlyFinish bool
+	// Pace is the first pause before a shard whose attempts have failed is tried again, while there is time; 0 gives it up at once.
+	Pace time.Duration
 	// AnswerMargin is kept before the target latency and the caller's deadline, for the way back to the caller.
 	AnswerMargin time.Duration
 	// ComeBack is when a caller may come back that was refused because too few back ends are known.
@@ -155,9 +159,12 @@
 	failed   bool
 	// last is the latest outcome that was no answer.
 	last Outcome
-	// tried replicas are not asked again; sent counts those that may have got the request.
-	tried   []*replica.Replica
+	// tried replicas are not asked again before the next pause. asked has the replica of each attempt that may have arrived.
+	tried []*replica.Replica
+	asked []*replica.Replica
+	// sent counts the attempts that may have arrived, paid those beyond the first that the budget has allowed.
 	sent    int
+	paid    int
 	live    int
 	hedgeAt time.Duration
 	// denied is why the last extra attempt that was due was not sent.
@@ -166,6 +173,9 @@
 	waiting     bool
 	wait        time.Duration
 	lookAgainAt time.Duration
+	// paused: all attempts have failed, and the shard is tried again at lookAgainAt, after a pause of pause.
+	paused bool
+	pause  time.Duration
 }
 
 // Request is one request under way.
@@ -259,7 +269,7 @@
 		r.mayHaveRun = true
 	}
 	if outcome.Kind == NotSent || outcome.Kind == Expired {
-		s.sent--
+		s.takeBack(attempt.Replica)
 	}
 	r.retryAfter = max(r.retryAfter, outcome.RetryAfter)
 	switch {
@@ -291,6 +301,8 @@
 		s := &r.shards[i]
 		if s.waiting && now >= s.lookAgainAt {
 			r.try(now, i, First)
+		} else if s.paused && now >= s.lookAgainAt {
+			r.resume(now, i)
 		} else if r.mayHedge(s) && now >= s.hedgeAt {
 			r.hedge(now, i)
 		}
@@ -317,7 +329,7 @@
 	}
 	for i := range r.shards {
 		s := &r.shards[i]
-		if s.waiting {
+		if s.waiting || s.paused {
 			wake = min(wake, s.lookAgainAt)
 		} else if r.mayHedge(s) {
 			wake = min(wake, s.hedgeAt)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,8 +191,13 @@
 }
 
 // Pick implements forward.World.
-func (w world) Pick(service string, excluded []*replica.Replica) (*replica.Replica, bool) {
-	return w.gateway.replicas.Pick(w.now, service, excluded)
+func (w world) Pick(service string, choice replica.Choice) (*replica.Replica, bool) {
+	return w.gateway.replicas.Pick(w.now, service, choice)
+}
+
+// Recovers implements forward.World.
+func (w world) Recovers(service string, choice replica.Choice) (time.Duration, bool) {
+	return w.gateway.replicas.Recovers(service, choice)
 }
 
 // SpendHedge implements forward.World.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -93,9 +93,11 @@
 	request  *forward.Request
 	deadline time.Time
 	outcomes chan ended
-	cancels  map[*forward.Attempt]context.CancelFunc
-	answer   *forward.Answer
-	gone     bool
+	// over is closed when nobody takes outcomes any more.
+	over    chan struct{}
+	cancels map[*forward.Attempt]context.CancelFunc
+	answer  *forward.Answer
+	gone    bool
 }
 
 // ended is an attempt with its outcome.
@@ -105,16 +107,15 @@
 }
 
 func newRun(g *Gateway, call *Call, route *routing.Route, arrived time.Duration) *run {
-	most := max(len(route.Shards), 1) * (route.MaximumAttempts + forward.UnsentTries)
 	return &run{
-		gateway: g, call: call, route: route, arrived: arrived,
-		// The channel holds every outcome there can be, so that no attempt ever waits for a request that is over.
-		outcomes: make(chan ended, most),
+		gateway: g, call: call, route: route, arrived: arrived, over: make(chan struct{}),
+		outcomes: make(chan ended, max(len(route.Shards), 1)),
 		cancels:  make(map[*forward.Attempt]context.CancelFunc, len(route.Shards)+1),
 	}
 }
 
 func (r *run) toEnd(ctx context.Context) forward.Answer {
+	defer close(r.over)
 	r.start()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -202,7 +203,10 @@
 		cancelled := ctx.Err() != nil
 		cancel()
 		r.gateway.attemptEnded(attempt, outcome, cancelled)
-		r.outcomes <- ended{attempt, outcome}
+		select {
+		case r.outcomes <- ended{attempt, outcome}:
+		case <-r.over:
+		}
 	}()
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -43,7 +43,7 @@
 func FromSettings(s settings.Gateway) Settings {
 	return Settings{
 		Forward: forward.Settings{
-			HedgeShare: s.HedgeShare, EarlyFinish: s.EarlyFinish, AnswerMargin: answerMargin, ComeBack: s.EntryInterval / 2,
+			HedgeShare: s.HedgeShare, EarlyFinish: s.EarlyFinish, Pace: s.RetryPace, AnswerMargin: answerMargin, ComeBack: s.EntryInterval / 2,
 		},
 		Replica: replica.Settings{
 			Connections: s.Connections, OtherZone: min(otherZoneLatency, s.Locality), OtherRegion: s.Locality,
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -24,13 +24,37 @@
 	return !r.Draining && !r.misdirected
 }
 
-// Pick returns the best replica of a service, none of those excluded, or nil. Busy is set where there are replicas but each
+// Choice says which replicas of a service may be picked: of those in Only, if there are any, all but those excluded.
+type Choice struct {
+	Excluded []*Replica
+	Only     []*Replica
+}
+
+func (c Choice) allows(r *Replica) bool {
+	return !slices.Contains(c.Excluded, r) && (len(c.Only) == 0 || slices.Contains(c.Only, r))
+}
+
+// Recovers returns the first moment at which one of the replicas that may be picked is not ejected; false if there is none.
+func (s *Set) Recovers(service string, choice Choice) (at time.Duration, known bool) {
+	for _, member := range s.byService[service] {
+		if !member.candidate() || !choice.allows(member) {
+			continue
+		}
+		if !known || member.ejectedUntil < at {
+			at = member.ejectedUntil
+		}
+		known = true
+	}
+	return at, known
+}
+
+// Pick returns the best replica of a service that the choice allows, or nil. Busy is set where there are replicas but each
 // has all the attempts under way that it may have.
-func (s *Set) Pick(now time.Duration, service string, excluded []*Replica) (best *Replica, busy bool) {
+func (s *Set) Pick(now time.Duration, service string, choice Choice) (best *Replica, busy bool) {
 	var bestScore float64
 	bestRank := rankNever
 	for _, member := range s.byService[service] {
-		if !member.candidate() || slices.Contains(excluded, member) {
+		if !member.candidate() || !choice.allows(member) {
 			continue
 		}
 		if len(member.inFlight) >= s.connectionsTo(member) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -34,6 +34,8 @@
 	Connections int
 	// HedgeShare of a route's target latency is waited before another replica is asked too; 0 turns hedging off.
 	HedgeShare float64
+	// RetryPace is the first pause before a shard whose attempts have failed is tried again; 0 gives it up at once.
+	RetryPace time.Duration
 	// EarlyFinish answers at the target latency with what is there, where that is enough.
 	EarlyFinish bool
 	// Locality is the latency by which a replica in another region must be better to be picked; 0 turns locality off.
@@ -46,7 +48,7 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		LogLevel: "info", StopWithin: 6 * time.Second, EntryInterval: 1200 * time.Millisecond, RetryShare: 0.2,
-		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.45, EarlyFinish: true, Locality: 130 * time.Millisecond,
+		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.45, RetryPace: 25 * time.Millisecond, EarlyFinish: true, Locality: 130 * time.Millisecond,
 		MaximumRequests: 2000,
 	}
 }
@@ -72,6 +74,7 @@
 	{"seeds", "a list of IP addresses and ports", false, func(s *Gateway, value string) bool { return setAddresses(&s.Seeds, value) }},
 	{"connections_per_back_end", "1 to 4096", false, integer(1, 4096, func(s *Gateway) *int { return &s.Connections })},
 	{"hedge_share", "0 to 1", false, share(func(s *Gateway) *float64 { return &s.HedgeShare })},
+	{"retry_pace", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.RetryPace })},
 	{"early_finish", "true or false", false, setEarlyFinish},
 	{"locality", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.Locality })},
 	{"maximum_requests", "1 to 1000000", false, integer(1, 1000000, func(s *Gateway) *int { return &s.MaximumRequests })},
