A back end that ends a new connection is not a failing one, and new connections to it prove themselves

The log shows the reset a way there and back after the connect: 1 to 3 ms near, 49 to 60 ms far. By then the request was written, so the attempt may have run and the next one needs budget, which is empty; and the back end was ejected.

Change: the end of a connection that has carried no answer is an outcome of its own (turned away). It leaves the back end for 100 ms instead of counting as a failure. For 4 s after one, and while many nodes are young, a new connection to the back end is watched for a way there and back before the request is written: what is closed by then was not sent and needs no budget.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,6 +39,8 @@
 	Header http.Header
 	Body   []byte
 	Err    error
+	// Unused: the connection ended before it had carried a single answer, as one over the back end's limit does.
+	Unused bool
 }
 
 // Request to be sent.
@@ -48,6 +50,8 @@
 	Deadline time.Time
 	// ConnectTimeout bounds the opening of a connection.
 	ConnectTimeout time.Duration
+	// Prove has a new connection wait for a way there and back before it is used: a back end at its limit has closed it by then.
+	Prove bool
 	// Prepare builds the message at the moment at which it is written, when the connection is there.
 	Prepare func() (*http.Request, error)
 	// MaximumBody bounds the answer in bytes.
@@ -70,10 +74,13 @@
 func (p *Pool) Do(ctx context.Context, request Request) Result {
 	connection, err := p.connect(ctx, request)
 	if err != nil {
-		return Result{Stage: NotSent, Err: failure.Wrap(err, failure.NoReplica, "no connection to the back end")}
+		return Result{
+			Stage: NotSent, Err: failure.Wrap(err, failure.NoReplica, "no connection to the back end"), Unused: errors.Is(err, errTurnedAway),
+		}
 	}
 	stop := context.AfterFunc(ctx, connection.abort)
 	result, reusable := connection.roundTrip(request)
+	result.Unused = connection.answers == 0
 	if !stop() || !reusable {
 		connection.close()
 		return result
@@ -92,6 +99,8 @@
 	idleSince time.Time
 	idleFor   time.Duration
 	closed    func()
+	// answers that it has carried.
+	answers int
 }
 
 // countingWriter knows whether anything was written.
@@ -143,6 +152,7 @@
 	if err != nil {
 		return Result{Stage: c.stage(), Err: failure.Wrap(err, failure.OutcomeUnknown, "the answer broke off")}, false
 	}
+	c.answers++
 	result = Result{Stage: Answered, Status: response.StatusCode, Header: response.Header, Body: body}
 	reusable = written() && c.framed(response) && request.Trusted(response.StatusCode, response.Header)
 	return result, reusable
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,8 +24,23 @@
 	idleMargin = 500 * time.Millisecond
 	// userTimeout is how long written bytes may stay unacknowledged before a connection is given up.
 	userTimeout = 2 * time.Second
+	// defaultProofSlack is enough for a back end to notice a connection over its limit and to close it.
+	defaultProofSlack = 2 * time.Millisecond
 )
 
+// errTurnedAway: the back end closed a new connection before anything was sent on it.
+var errTurnedAway = errors.New("the back end closed the new connection at once")
+
+// quiet reports whether nothing comes on a new connection, neither a byte nor its end, for some time.
+func quiet(socket net.Conn, length time.Duration) bool {
+	if err := socket.SetReadDeadline(time.Now().Add(length)); err != nil {
+		return false
+	}
+	var buffer [1]byte
+	_, err := socket.Read(buffer[:])
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	mutex sync.Mutex
@@ -33,11 +50,13 @@
 	Open   atomic.Int64
 	// Connected, where set, is told how long each opening of a connection took.
 	Connected func(time.Duration)
+	// proofSlack is waited beyond a way there and back where a new connection must prove itself.
+	proofSlack time.Duration
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*connection{}}
+	return &Pool{idle: map[string][]*connection{}, proofSlack: defaultProofSlack}
 }
 
 // connect takes an idle connection that is still sound, or opens one.
@@ -62,10 +81,15 @@
 	if err != nil {
 		return nil, err
 	}
+	took := time.Since(started)
 	if p.Connected != nil {
-		p.Connected(time.Since(started))
+		p.Connected(took)
 	}
 	p.Opened.Add(1)
+	if request.Prove && !quiet(socket, took+p.proofSlack) {
+		_ = socket.Close()
+		return nil, errTurnedAway
+	}
 	p.Open.Add(1)
 	return newConnection(socket, func() { p.Open.Add(-1) }), nil
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -82,6 +82,8 @@
 	RetryAfter time.Duration
 	// Response is the back end's answer, with Answered and Failed.
 	Response *Response
+	// TurnedAway: the back end ended a connection that had carried no answer yet, as it does with those over its limit.
+	TurnedAway bool
 	// Detail says what happened, for logs.
 	Detail string
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,8 @@
 	Entry replica.Entry
 	// Deadline is when the work is of no more use. What is left of it is told at the moment of the write.
 	Deadline time.Time
+	// Prove has a new connection prove first that the back end takes it.
+	Prove bool
 	// Rest says which connections to the back end may rest for later requests.
 	Rest replica.Rest
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -162,7 +162,9 @@
 		}
 	}
 	part := 1
-	if g.young(g.now()) {
+	young := g.young(g.now())
+	g.replicas.SetYoung(young)
+	if young {
 		part = youngPart
 	}
 	shares := map[string]replica.Share{}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -196,7 +196,7 @@
 	r.cancels[attempt] = cancel
 	send := Send{
 		Call: r.call, Attempt: attempt, Entry: attempt.Replica.Entry, Deadline: r.deadline,
-		Rest: r.gateway.replicas.Rest(attempt.Replica),
+		Rest: r.gateway.replicas.Rest(attempt.Replica), Prove: r.gateway.replicas.Crowded(now, attempt.Replica),
 	}
 	go func() {
 		outcome := r.gateway.exchange(ctx, send)
@@ -235,18 +235,21 @@
 func (g *Gateway) attemptEnded(attempt *forward.Attempt, outcome forward.Outcome, cancelled bool) {
 	g.mutex.Lock()
 	now := g.now()
-	ejected := attempt.Replica.Finish(now, attempt.StartedAt, verdict(outcome.Kind, cancelled))
+	ejected := attempt.Replica.Finish(now, attempt.StartedAt, verdict(outcome, cancelled))
 	g.mutex.Unlock()
 	if ejected {
 		g.journal.Ejected(attempt, outcome)
 	}
 }
 
-func verdict(kind forward.Kind, cancelled bool) replica.Verdict {
-	if cancelled && kind != forward.Answered {
+func verdict(outcome forward.Outcome, cancelled bool) replica.Verdict {
+	switch {
+	case cancelled && outcome.Kind != forward.Answered:
 		return replica.Abandoned
+	case outcome.TurnedAway:
+		return replica.TurnedAway
 	}
-	switch kind {
+	switch outcome.Kind {
 	case forward.Answered:
 		return replica.Answered
 	case forward.Refused:
--- a/internal/replica/outcome.go
+++ b/internal/replica/outcome.go
@@ -11,6 +11,10 @@
 	failuresToEject = 2
 	firstEjection   = 250 * time.Millisecond
 	longestEjection = 4 * time.Second
+	// turnedAwayPause: what another connection over the limit tells is known already. crowdedFor is how long after one new connections
+	// are doubted; back ends count those of lives that ended for some seconds.
+	turnedAwayPause = 100 * time.Millisecond
+	crowdedFor      = 4 * time.Second
 )
 
 // Verdict is what the end of an attempt says of its replica.
@@ -26,6 +30,8 @@
 	Failed
 	// Unreachable: no connection was had.
 	Unreachable
+	// TurnedAway: it ended a connection that had carried no answer yet. It may be at its limit, and sound.
+	TurnedAway
 	// Misdirected: its address answers for another back end.
 	Misdirected
 	// Abandoned: the attempt was given up on before an answer.
@@ -66,6 +72,11 @@
 	case Unreachable:
 		r.failures += failuresToEject
 		return r.eject(now)
+	case TurnedAway:
+		r.crowdedUntil = now + crowdedFor
+		before := r.Ejected(now)
+		r.ejectedUntil = max(r.ejectedUntil, now+turnedAwayPause)
+		return !before
 	case Misdirected:
 		r.misdirected = true
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -37,6 +37,8 @@
 	// failures in a row, and until when the replica is only picked as a last choice.
 	failures     int
 	ejectedUntil time.Duration
+	// crowdedUntil: it has turned connections away of late.
+	crowdedUntil time.Duration
 	// doubtful: the entry vanished while the store was unsettled, at goneAt.
 	doubtful bool
 	goneAt   time.Duration
@@ -62,6 +64,12 @@
 // Ejected reports whether the replica is a last choice at the moment.
 func (r *Replica) Ejected(now time.Duration) bool { return now < r.ejectedUntil }
 
+// Crowded reports whether the replica may be at the limit of the connections that it takes, so that a new one must prove itself.
+func (s *Set) Crowded(now time.Duration, r *Replica) bool { return s.young || now < r.crowdedUntil }
+
+// SetYoung says whether back ends may still count connections of earlier lives of many nodes.
+func (s *Set) SetYoung(young bool) { s.young = young }
+
 // Places tells how far a back end is.
 type Places struct {
 	// Node is the name of this node.
@@ -92,6 +100,7 @@
 	byService map[string][]*Replica
 	// shares of the connections by service, where they differ from the settings'.
 	shares map[string]Share
+	young  bool
 }
 
 // NewSet returns an empty set.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -121,6 +121,55 @@
 	}
 }
 
+// TestTurnedAway: a back end that ends new connections is left for a moment and is no failing one; new connections to it must prove
+// themselves for a while, and all must while many nodes are young.
+func TestTurnedAway(t *testing.T) {
+	set := newSet(entry("own", "a1"), entry("near", "a2"))
+	own := set.Get("own")
+	if set.Crowded(0, own) {
+		t.Error("crowded without a sign")
+	}
+	now := time.Duration(0)
+	for range 3 {
+		now = run(set, now, "own", time.Millisecond, replica.TurnedAway)
+	}
+	if got := picked(set, now); got != "near" {
+		t.Errorf("picked %s at once", got)
+	}
+	if got := picked(set, now+100*time.Millisecond); got != "own" {
+		t.Errorf("picked %s after a moment", got)
+	}
+	if !set.Crowded(now+3*time.Second, own) || set.Crowded(now+5*time.Second, own) || set.Crowded(now, set.Get("near")) {
+		t.Error("crowded for another time, or another back end")
+	}
+	if set.SetYoung(true); !set.Crowded(now+5*time.Second, own) {
+		t.Error("not crowded among young nodes")
+	}
+}
+
+// TestRecovers: the first moment at which one of the replicas that may be picked is not ejected.
+func TestRecovers(t *testing.T) {
+	set := newSet(entry("a", "a1"), entry("b", "a2"), entry("c", "b1"))
+	a, b := set.Get("a"), set.Get("b")
+	run(set, 0, "a", 0, replica.Unreachable)
+	run(set, 10*time.Millisecond, "b", 0, replica.Unreachable)
+	for name, c := range map[string]struct {
+		choice replica.Choice
+		at     time.Duration
+	}{
+		"one is sound":  {replica.Choice{}, 0},
+		"all but it":    {replica.Choice{Only: []*replica.Replica{a, b}}, 250 * time.Millisecond},
+		"the later one": {replica.Choice{Only: []*replica.Replica{a, b}, Excluded: []*replica.Replica{a}}, 260 * time.Millisecond},
+	} {
+		if at, known := set.Recovers("s", c.choice); at != c.at || !known {
+			t.Errorf("%s: %v, %v", name, at, known)
+		}
+	}
+	if _, known := set.Recovers("unknown", replica.Choice{}); known {
+		t.Error("known")
+	}
+}
+
 // TestConnections: no more attempts at once than connections; busy is told from nothing there.
 func TestConnections(t *testing.T) {
 	set := newSet(entry("own", "a1"))
