A request that comes while the node starts waits for the first listing; one of which nothing has run is refused after a fifth of its target

Change: in its first second a node holds a request up to 250 ms for its first listing. And with pauses between tries, a request of which nothing has run is refused as not run once a fifth of its target is over, whether it found no room or was refused: the caller can go elsewhere.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -48,7 +48,7 @@
 	if r.done {
 		return
 	}
-	open, waiting := r.open()
+	open := r.open()
 	required := r.required()
 	enough := r.answered >= required
 	switch {
@@ -64,8 +64,8 @@
 		r.succeed(DeadlineCame)
 	case now >= r.deadline:
 		r.finish(r.timedOut())
-	case waiting > 0 && !r.anySent && now >= r.startedAt+r.route.TargetLatency/offerShare:
-		r.finish(Answer{Reason: NoRoom, Failure: r.refusal(failure.Overloaded, overloadedRetryAfter)})
+	case r.untouched() && now >= r.offerUntil():
+		r.finish(r.refused())
 	}
 }
 
@@ -95,18 +95,15 @@
 	return 1
 }
 
-// open counts the shards that may still be answered, and those of them that wait for a replica with room.
-func (r *Request) open() (open, waiting int) {
+// open counts the shards that may still be answered.
+func (r *Request) open() (open int) {
 	for i := range r.shards {
 		s := &r.shards[i]
 		if s.response == nil && !s.failed {
 			open++
 		}
-		if s.waiting {
-			waiting++
-		}
 	}
-	return open, waiting
+	return open
 }
 
 func (r *Request) succeed(reason Reason) {
@@ -146,7 +143,22 @@
 		r.finish(Answer{Reason: NoBackEnd, Failure: r.refusal(failure.NoReplica, r.settings.ComeBack)})
 		return
 	}
-	r.finish(Answer{Reason: AllRefused, Failure: r.refusal(failure.Overloaded, overloadedRetryAfter)})
+	r.finish(r.refused())
+}
+
+// untouched reports whether nothing of the request has run and no attempt is under way, so that its caller can be told to come back.
+func (r *Request) untouched() bool { return !r.mayHaveRun && !r.anyLive() }
+
+// offerUntil is how long back ends are looked for that take a request of which nothing has run.
+func (r *Request) offerUntil() time.Duration { return r.startedAt + r.route.TargetLatency/offerShare }
+
+// refused is the answer where no back end took the request.
+func (r *Request) refused() Answer {
+	answer := Answer{Reason: AllRefused, Failure: r.refusal(failure.Overloaded, overloadedRetryAfter)}
+	if !r.anySent {
+		answer.Reason = NoRoom
+	}
+	return answer
 }
 
 // outcomeFailure is the failure of a request that ran, or may have run, on some back end.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -151,6 +151,8 @@
 	Route *routing.Route
 	// Service a request to a single back end goes to.
 	Service string
+	// Arrived is when the request came, zero if it starts as it comes. Target and timeout count from then.
+	Arrived time.Duration
 	// Deadline is when the caller stops waiting, zero if it did not say.
 	Deadline time.Duration
 }
@@ -203,9 +205,13 @@
 // Start takes a request in and returns it with its first actions.
 func Start(now time.Duration, parameters Parameters, settings Settings, world World) (*Request, []Action) {
 	route := parameters.Route
+	arrived := parameters.Arrived
+	if arrived == 0 {
+		arrived = now
+	}
 	r := &Request{
-		world: world, settings: settings, route: route, startedAt: now,
-		deadline: now + route.Timeout, target: now + route.TargetLatency - settings.AnswerMargin,
+		world: world, settings: settings, route: route, startedAt: arrived,
+		deadline: arrived + route.Timeout, target: arrived + route.TargetLatency - settings.AnswerMargin,
 	}
 	if parameters.Deadline > 0 {
 		r.deadline = min(r.deadline, parameters.Deadline-settings.AnswerMargin)
@@ -227,7 +233,7 @@
 // refuseTooFew refuses a request at its start where too few shards have a back end that can be asked: nothing was sent yet, so
 // it can still be promised that it did not run, and the caller comes back when there may be more.
 func (r *Request) refuseTooFew() {
-	if open, _ := r.open(); open >= r.required() {
+	if r.open() >= r.required() {
 		return
 	}
 	r.actions = nil
@@ -329,6 +335,9 @@
 	if r.settings.EarlyFinish && r.route.FansOut() && now < r.target {
 		wake = min(wake, r.target)
 	}
+	if r.untouched() {
+		wake = min(wake, max(now, r.offerUntil()))
+	}
 	for i := range r.shards {
 		s := &r.shards[i]
 		if s.waiting || s.paused {
--- a/internal/forward/retry_test.go
+++ b/internal/forward/retry_test.go
@@ -80,6 +80,20 @@
 			t.Errorf("answer %+v", s.answer)
 		}
 	})
+	t.Run("nothing of it has run for a fifth of the target", func(t *testing.T) {
+		world := newWorld(0, "a")
+		s := startPaced(t, single(true), world).end(0, ended(forward.Refused))
+		if wake := s.request.NextWake(0); s.answer != nil || wake != 25*millisecond {
+			t.Fatalf("looks again at %v, answer %+v", wake, s.answer)
+		}
+		s.at(25 * millisecond)
+		if wake := s.request.NextWake(s.now); wake != 40*millisecond {
+			t.Fatalf("looks again at %v", wake)
+		}
+		if s.at(40 * millisecond); s.answer == nil || s.answer.Failure == nil || !s.answer.Failure.NotRun || s.answer.Failure.RetryAfter == 0 {
+			t.Errorf("answer %+v", s.answer)
+		}
+	})
 	t.Run("the only back end's own failure", func(t *testing.T) {
 		failed := forward.Outcome{Kind: forward.Failed, Response: &forward.Response{Status: 500}}
 		s := startPaced(t, single(true), newWorld(0, "a")).end(0, failed)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,8 @@
 	leaving  atomic.Bool
 	// listed: a whole listing of the store was read.
 	listed atomic.Bool
+	// firstListing is closed when the node has its first configuration and has read or been told the store's whole content.
+	firstListing chan struct{}
 	// givenUp is closed when all requests under way are to be answered at once.
 	givenUp    chan struct{}
 	giveUpOnce sync.Once
@@ -123,9 +125,10 @@
 	random := rand.New(rand.NewPCG(settings.Seed, settings.Seed))
 	g := &Gateway{
 		backEnds: backEnds, store: store, journal: journal, started: time.Now(), givenUp: make(chan struct{}),
-		starved:  make(chan struct{}, 1),
-		replicas: replica.NewSet(settings.Replica, settings.Places, random),
-		budgets:  map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
+		firstListing: make(chan struct{}),
+		starved:      make(chan struct{}, 1),
+		replicas:     replica.NewSet(settings.Replica, settings.Places, random),
+		budgets:      map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
 		follower: follow.New(settings.Follow, random.Float64), listedKeys: map[string]bool{},
 	}
 	g.settings.Store(&settings)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -487,6 +487,42 @@
 	})
 }
 
+// TestFirstListing: a request that comes while the node starts waits for the first listing instead of being refused, but not for long.
+func TestFirstListing(t *testing.T) {
+	for name, c := range map[string]struct {
+		listing time.Duration
+		served  bool
+	}{"soon": {50 * time.Millisecond, true}, "late": {400 * time.Millisecond, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newStore()
+				store.put(configuration(1))
+				for i := range shards {
+					store.put(backEnd(fmt.Sprint("s", i), "-1", "zone"))
+				}
+				loaded := settings.DefaultGateway()
+				loaded.Zone = "zone"
+				g := gateway.New(gateway.FromSettings(loaded), &fakeBackEnds{answer: after(10 * time.Millisecond)}, store, silentJournal{})
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go func() {
+					time.Sleep(c.listing)
+					g.Run(ctx)
+				}()
+				result := g.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/all/x"})
+				if served := result.Failure == nil; served != c.served {
+					t.Errorf("answered %+v after %v", result.Failure, result.Elapsed)
+				}
+				if !c.served && (!result.Failure.NotRun || result.Elapsed > 250*time.Millisecond) {
+					t.Errorf("refused with %+v after %v", result.Failure, result.Elapsed)
+				}
+				cancel()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // TestFaultOfOurs: a panic within an attempt ends that attempt and not the process.
 func TestFaultOfOurs(t *testing.T) {
 	play(t, func(t *testing.T, s *scene) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -127,7 +127,7 @@
 	}
 	if received.Advanced {
 		g.follower.Advance(g.view.Revision())
-		g.listed.Store(true)
+		g.noteListed()
 		g.journal.Learned(from, len(received.Records)+len(received.Gone), g.view.Revision())
 	}
 	g.tell(received.Sends)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -33,6 +33,8 @@
 	startingRetryAfter = 150 * time.Millisecond
 	notReadyRetryAfter = 500 * time.Millisecond
 	startingTime       = time.Second
+	// startingHold is how long a request waits at most for the first listing of the store, which takes a few milliseconds.
+	startingHold = 250 * time.Millisecond
 )
 
 // Serve runs a call to its answer. The context ends when the caller leaves.
@@ -50,7 +52,22 @@
 	g.journal.Request(call, &Result{Answer: forward.Answer{Failure: refusal}, Version: g.Version(), Arrived: g.now()})
 }
 
+// awaitFirstListing has a request that came while the node starts wait until it knows the configuration and the back ends.
+func (g *Gateway) awaitFirstListing(ctx context.Context) {
+	timer := time.NewTimer(startingHold)
+	defer timer.Stop()
+	select {
+	case <-g.firstListing:
+	case <-timer.C:
+	case <-g.givenUp:
+	case <-ctx.Done():
+	}
+}
+
 func (g *Gateway) admit(ctx context.Context, call *Call, arrived time.Duration) Result {
+	if arrived < startingTime {
+		g.awaitFirstListing(ctx)
+	}
 	table := g.table.Load()
 	if table == nil {
 		retryAfter := notReadyRetryAfter
@@ -149,7 +166,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.now()
-	parameters := forward.Parameters{Route: r.route}
+	parameters := forward.Parameters{Route: r.route, Arrived: r.arrived}
 	if r.route.FansOut() {
 		for _, service := range r.route.Shards {
 			g.budget(service).Request(now, 1)
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -135,10 +135,23 @@
 		g.vanished(now, key, g.follower.Settled(now))
 	}
 	clear(g.listedKeys)
-	g.listed.Store(true)
+	g.noteListed()
 	g.tell(g.view.Known(revision))
 }
 
+// noteListed notes that the node knows the whole content of the store; the lock is held. Requests that wait for it go on once there is a
+// configuration.
+func (g *Gateway) noteListed() {
+	g.listed.Store(true)
+	select {
+	case <-g.firstListing:
+	default:
+		if g.table.Load() != nil {
+			close(g.firstListing)
+		}
+	}
+}
+
 func (g *Gateway) watch(ctx context.Context, call follow.Call) {
 	bounded, cancel := context.WithTimeout(ctx, call.For+watchSlack)
 	defer cancel()
@@ -217,6 +230,9 @@
 	g.splitter.Retain(compiled)
 	g.table.Store(compiled)
 	g.shareOut()
+	if g.listed.Load() {
+		g.noteListed()
+	}
 	g.journal.Configuration(compiled, item.Revision)
 }
 
