--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -18,10 +18,9 @@
 	// beyond the time that any answer of its replica takes.
 	siblingFactor = 2
 	siblingSlack  = 12 * time.Millisecond
-	// lastExtras that the budget of a service allows are not spent on shards that are just late. hedgeRoom is kept for the way of a
+	// hedgeRoom is kept for the way of a
 	// hedge to another region and back, over a new connection. hedgePatience is where between the moment at which a shard is late
 	// and the last one at which a hedge still saves the answer it is hedged then.
-	lastExtras    = 2
 	hedgeRoom     = 30 * time.Millisecond
 	hedgePatience = 0.5
 )
@@ -79,7 +78,7 @@
 // their replicas, and are hedged; before that a long wait says that the request is a long one, which a hedge would not
 // shorten.
 func (r *Request) noteAnswer(now time.Duration, attempt *Attempt) {
-	if !r.route.FansOut() || r.answered*2 < len(r.shards) {
+	if !r.settings.SiblingHedges || !r.route.FansOut() || r.answered*2 < len(r.shards) {
 		return
 	}
 	if r.siblings == 0 {
@@ -98,7 +97,7 @@
 func (r *Request) late(s *shard) time.Duration {
 	late := siblingFactor*r.siblings + siblingSlack
 	latest := r.target - r.startedAt - late - hedgeRoom
-	if latest > late && r.world.ExtrasLeft(s.service) < lastExtras {
+	if latest > late && r.world.ExtrasLeft(s.service) < float64(r.settings.LastExtras) {
 		late += time.Duration(hedgePatience * float64(latest-late))
 	}
 	return late
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -31,6 +31,10 @@
 type Settings struct {
 	// HedgeShare of the target latency is waited at most for an answer before another replica is asked too; 0 turns hedging off.
 	HedgeShare float64
+	// SiblingHedges has a shard hedged that takes much longer than the others of its request.
+	SiblingHedges bool
+	// LastExtras that the budget of a service allows are not spent on shards that are just late.
+	LastExtras int
 	// EarlyFinish answers at the target latency with what is there, where that is enough.
 	EarlyFinish bool
 	// Pace is the first pause before a shard whose attempts have failed is tried again, while there is time; 0 gives it up at once.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,14 @@
 	HedgeReserve float64
 	// Linger is how long an attempt whose answer is of no more use may go on before its connection is closed.
 	Linger time.Duration
+	// ShareConnections divides the connections of a back end among the nodes; one in YoungPart of them while many nodes are young.
+	ShareConnections bool
+	YoungPart        int
+	// StoreTurns has the nodes look at the store one after the other, PeerCopies has them tell each other what they learn.
+	StoreTurns bool
+	PeerCopies bool
+	// StartingHold is how long a request waits at most for the first listing of the store, which takes a few milliseconds.
+	StartingHold time.Duration
 	// MaximumRequests bounds the requests under way.
 	MaximumRequests int
 	// Seed of random choices.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,8 +24,7 @@
 const (
 	// youngFor is how long after a start back ends may count connections that died with an earlier life.
 	youngFor = 8 * clock.Second
-	// youngPart of the connections is what nodes share meanwhile, if at least one in togetherPart of them started with it.
-	youngPart    = 2
+	// togetherPart: a part of the connections is shared meanwhile if at least one in so many nodes started with it.
 	togetherPart = 3
 )
 
@@ -44,7 +43,7 @@
 // somePeers picks random members for the spreading of the store's state: one anywhere and the others near, since bytes between
 // regions are dear; every fourth time a single one is picked anywhere too, so that news crosses between regions.
 func (g *Gateway) somePeers(count int) []string {
-	if g.members == nil {
+	if g.members == nil || !g.settings.Load().PeerCopies {
 		return nil
 	}
 	g.peerPicks++
@@ -146,7 +145,7 @@
 // store. A node that has not joined the others yet goes by those it has heard of so far, and by the settings.
 func (g *Gateway) shareOut() {
 	table := g.table.Load()
-	if g.members == nil || table == nil {
+	if g.members == nil || table == nil || !g.settings.Load().ShareConnections {
 		return
 	}
 	nodes, most := g.nodes, g.settings.Load().MostConnections
@@ -165,7 +164,7 @@
 	young := g.young(g.now())
 	g.replicas.SetYoung(young)
 	if young {
-		part = youngPart
+		part = g.settings.Load().YoungPart
 	}
 	shares := map[string]replica.Share{}
 	for _, service := range table.Services() {
@@ -196,7 +195,7 @@
 // takeTurns has the nodes look at the store one after the other: with each some time after the one before it, a change that the
 // watches of all have missed is found soon, and told.
 func (g *Gateway) takeTurns() {
-	if g.nodes < 2 {
+	if g.nodes < 2 || !g.settings.Load().StoreTurns {
 		return
 	}
 	members := g.members.Members()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -33,8 +33,6 @@
 	startingRetryAfter = 150 * time.Millisecond
 	notReadyRetryAfter = 500 * time.Millisecond
 	startingTime       = time.Second
-	// startingHold is how long a request waits at most for the first listing of the store, which takes a few milliseconds.
-	startingHold = 250 * time.Millisecond
 )
 
 // Serve runs a call to its answer. The context ends when the caller leaves.
@@ -54,7 +52,7 @@
 
 // awaitFirstListing has a request that came while the node starts wait until it knows the configuration and the back ends.
 func (g *Gateway) awaitFirstListing(ctx context.Context) {
-	timer := time.NewTimer(startingHold)
+	timer := time.NewTimer(g.settings.Load().StartingHold)
 	defer timer.Stop()
 	select {
 	case <-g.firstListing:
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -43,11 +43,11 @@
 func FromSettings(s settings.Gateway) Settings {
 	return Settings{
 		Forward: forward.Settings{
-			HedgeShare: s.HedgeShare, EarlyFinish: s.EarlyFinish, Pace: s.RetryPace, AnswerMargin: answerMargin, ComeBack: s.EntryInterval / 2,
+			HedgeShare: s.HedgeShare, SiblingHedges: s.SiblingHedges, LastExtras: s.LastExtras, EarlyFinish: s.EarlyFinish, Pace: s.RetryPace, AnswerMargin: answerMargin, ComeBack: s.EntryInterval / 2,
 		},
 		Replica: replica.Settings{
 			Connections: s.Connections, OtherZone: min(otherZoneLatency, s.Locality), OtherRegion: s.Locality,
-			DoubtFor: time.Duration(doubtIntervals * float64(s.EntryInterval)),
+			DoubtFor: doubtFor(s), SubsetSize: s.SubsetSize, FewRest: s.FewRest, Ejection: s.Ejection, Prove: s.ProveConnections,
 		},
 		Follow: follow.Settings{
 			WatchFor: watchFor, GatherFor: gatherFor, SettleFor: settleFor, FirstBackoff: firstBackoff, LongestBackoff: longestBackoff,
@@ -57,6 +57,16 @@
 		WatchPerNode: watchPerNode, LongestWatch: longestWatch, MostConnections: mostConnections, RetrySlack: s.RetrySlack,
 		Places:     replica.Places{Node: s.Node, Zone: s.Zone, Regions: s.Regions},
 		RetryShare: s.RetryShare * (1 - retryMargin), RetryWindow: s.RetryWindow, HedgeReserve: hedgeReserve,
-		Linger: linger, MaximumRequests: s.MaximumRequests, Seed: rand.Uint64(),
+		ShareConnections: s.ShareConnections, YoungPart: s.YoungPart, StoreTurns: s.StoreTurns, PeerCopies: s.PeerCopies,
+		StartingHold: s.StartingHold,
+		Linger:       linger, MaximumRequests: s.MaximumRequests, Seed: rand.Uint64(),
 	}
 }
+
+// doubtFor is how long an entry that vanished while the store was in trouble is used on.
+func doubtFor(s settings.Gateway) time.Duration {
+	if !s.Doubt {
+		return 0
+	}
+	return time.Duration(doubtIntervals * float64(s.EntryInterval))
+}
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -10,8 +10,8 @@
 		"./internal/gateway", "TestRandomFaults",
 	},
 	{
-		"a request that is not repeatable goes out again without proof", "internal/forward/attempts.go",
-		"if !r.route.Repeatable && !kind.NotRun() {", "if false {",
+		"a request that is not repeatable goes out again without proof", "internal/forward/retry.go",
+		"return r.route.Repeatable || kind.NotRun()", "return true",
 		"./internal/gateway", "TestRandomFaults",
 	},
 	{
@@ -36,12 +36,12 @@
 	},
 	{
 		"vanished entries are used for ever", "internal/replica/replica.go",
-		"	if settled {\n		s.forget(known)\n		return true\n	}\n", "",
+		"	if settled || s.settings.DoubtFor == 0 {\n		s.forget(known)\n		return true\n	}\n", "",
 		"./internal/replica", "TestVanished",
 	},
 	{
 		"an entry that lapsed in an outage is gone at once", "internal/replica/replica.go",
-		"	if settled {\n		s.forget(known)", "	if true {\n		s.forget(known)",
+		"	if settled || s.settings.DoubtFor == 0 {\n		s.forget(known)", "	if true {\n		s.forget(known)",
 		"./internal/gateway", "TestLapsedEntries",
 	},
 	{
@@ -91,12 +91,52 @@
 	},
 	{
 		"a request is sent though too few shards are known", "internal/forward/forward.go",
-		"if open, _ := r.open(); open >= r.required() {", "if true {",
+		"if r.open() >= r.required() {", "if true {",
 		"./platform", "TestRefusedBeforeAnythingIsSent",
 	},
+	{
+		"a shard goes to more back ends than the route allows", "internal/forward/attempts.go",
+		"if distinct(s.asked) >= r.route.MaximumAttempts {", "if false {",
+		"./internal/forward", "TestPacedTries",
+	},
+	{
+		"a further try after a pause is not paid for", "internal/forward/retry.go",
+		"if s.sent <= s.paid {", "if true {",
+		"./internal/forward", "TestPacedTries",
+	},
+	{
+		"a shard is given up while there is time", "internal/forward/retry.go",
+		"s.paused = r.settings.Pace > 0 && known", "s.paused = false && known",
+		"./internal/forward", "TestTriedAgainAfterAPause",
+	},
+	{
+		"a request waits for a shard that cannot come", "internal/forward/retry.go",
+		"s.lookAgainAt = max(now+s.pause, recovery)", "s.lookAgainAt = now + s.pause",
+		"./internal/forward", "TestNothingCanCome",
+	},
+	{
+		"a request of which nothing has run is held", "internal/forward/answer.go",
+		"case r.untouched() && now >= r.offerUntil():", "case false:",
+		"./internal/forward", "TestNothingCanCome",
+	},
+	{
+		"a new connection to a crowded back end is used at once", "internal/exchange/pool.go",
+		"if request.Prove && !quiet(", "if false && !quiet(",
+		"./internal/exchange", "TestTurnedAway",
+	},
+	{
+		"a back end that is full counts as failing", "internal/replica/outcome.go",
+		"		r.crowdedUntil = now + crowdedFor\n", "		r.failures += failuresToEject\n		r.eject(now)\n",
+		"./internal/replica", "TestTurnedAway",
+	},
+	{
+		"a request is refused while the node starts", "internal/gateway/serve.go",
+		"		g.awaitFirstListing(ctx)\n", "",
+		"./internal/gateway", "TestFirstListing",
+	},
 	{
 		"a young node uses its whole share of connections", "internal/gateway/peers.go",
-		"		part = youngPart\n", "		part = 1\n",
+		"		part = g.settings.Load().YoungPart\n", "		part = 1\n",
 		"./internal/gateway", "TestYoungShare",
 	},
 	{
@@ -121,7 +161,7 @@
 	},
 	{
 		"the last extra attempts go to shards that are just late", "internal/forward/attempts.go",
-		"r.world.ExtrasLeft(s.service) < lastExtras", "false",
+		"r.world.ExtrasLeft(s.service) < float64(r.settings.LastExtras)", "false",
 		"./internal/forward", "TestLateAgainstSiblings",
 	},
 	{
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -43,6 +43,9 @@
 		if !known || member.ejectedUntil < at {
 			at = member.ejectedUntil
 		}
+		if !s.settings.Ejection {
+			at = 0
+		}
 		known = true
 	}
 	return at, known
@@ -62,6 +65,9 @@
 			continue
 		}
 		rank := member.rank(now)
+		if rank == rankEjected && !s.settings.Ejection {
+			rank = rankGood
+		}
 		score := s.score(now, member)
 		if best == nil || rank < bestRank || (rank == bestRank && score < bestScore) {
 			best, bestRank, bestScore = member, rank, score
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -65,7 +65,9 @@
 func (r *Replica) Ejected(now time.Duration) bool { return now < r.ejectedUntil }
 
 // Crowded reports whether the replica may be at the limit of the connections that it takes, so that a new one must prove itself.
-func (s *Set) Crowded(now time.Duration, r *Replica) bool { return s.young || now < r.crowdedUntil }
+func (s *Set) Crowded(now time.Duration, r *Replica) bool {
+	return s.settings.Prove && (s.young || now < r.crowdedUntil)
+}
 
 // SetYoung says whether back ends may still count connections of earlier lives of many nodes.
 func (s *Set) SetYoung(young bool) { s.young = young }
@@ -89,6 +91,14 @@
 	OtherRegion time.Duration
 	// DoubtFor is how long an entry that vanished while the store was unsettled is still used.
 	DoubtFor time.Duration
+	// SubsetSize is how many near replicas of a service are preferred where its share of their connections is not ample.
+	SubsetSize int
+	// FewRest lets only one connection rest there.
+	FewRest bool
+	// Ejection makes failing replicas a last choice for a while.
+	Ejection bool
+	// Prove has new connections to a crowded replica prove themselves.
+	Prove bool
 }
 
 // Set is all back ends known to a node.
@@ -153,7 +163,7 @@
 	if known == nil {
 		return false
 	}
-	if settled {
+	if settled || s.settings.DoubtFor == 0 {
 		s.forget(known)
 		return true
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -14,6 +14,7 @@
 
 var settings = replica.Settings{
 	Connections: 4, OtherZone: 10 * millisecond, OtherRegion: 80 * millisecond, DoubtFor: 2 * time.Second,
+	SubsetSize: 2, FewRest: true, Ejection: true, Prove: true,
 }
 
 func newSet(entries ...replica.Entry) *replica.Set {
--- a/internal/replica/share.go
+++ b/internal/replica/share.go
@@ -65,7 +65,7 @@
 func (s *Set) Rest(r *Replica) Rest {
 	share := s.share(r.Service)
 	switch {
-	case share.Far >= ampleShare:
+	case share.Far >= ampleShare || !s.settings.FewRest:
 		return Rest{Most: share.Near}
 	case s.near(r):
 		return Rest{Most: 1}
--- a/internal/replica/subset.go
+++ b/internal/replica/subset.go
@@ -7,13 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// subsetSize is how many near replicas of a service a node prefers where its share of their connections is not ample: one to
-	// work with and one for hedges.
-	subsetSize = 2
-	// outsidePenalty is by how much, in nanoseconds, a near replica outside the subset must be better.
-	outsidePenalty = 40e6
-)
+// outsidePenalty is by how much, in nanoseconds, a near replica outside the subset must be better.
+const outsidePenalty = 40e6
 
 // affinity orders the replicas of a service for one node by rendezvous hashing: nodes spread over replicas without an exchange, and
 // one that comes or goes changes little.
@@ -30,13 +25,14 @@
 			near = append(near, r)
 		}
 	}
-	if s.share(service).Far >= ampleShare || len(near) <= subsetSize {
+	size := s.settings.SubsetSize
+	if size == 0 || s.share(service).Far >= ampleShare || len(near) <= size {
 		return
 	}
 	slices.SortFunc(near, func(a, b *Replica) int {
 		return cmp.Or(cmp.Compare(s.distance(a), s.distance(b)), cmp.Compare(b.affinity, a.affinity))
 	})
-	for _, r := range near[subsetSize:] {
+	for _, r := range near[size:] {
 		r.outside = true
 	}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -42,6 +42,31 @@
 	Locality time.Duration
 	// MaximumRequests bounds the requests under way.
 	MaximumRequests int
+
+	// SiblingHedges has a shard hedged that takes much longer than the others of its request.
+	SiblingHedges bool
+	// LastExtras that the retry budget of a service allows are kept for shards that are very late; 0 keeps none.
+	LastExtras int
+	// SubsetSize is how many near replicas a node prefers where connections are few; 0 prefers none.
+	SubsetSize int
+	// FewRest lets only one connection rest at a back end where they are few.
+	FewRest bool
+	// ShareConnections divides the connections of a back end among the nodes known.
+	ShareConnections bool
+	// YoungPart of the connections is shared while many nodes have just started: one in so many.
+	YoungPart int
+	// Ejection leaves failing back ends out for a while.
+	Ejection bool
+	// Doubt uses a back end on for a while whose entry vanished while the store was in trouble.
+	Doubt bool
+	// StoreTurns has the nodes look at the store one after the other.
+	StoreTurns bool
+	// PeerCopies has nodes tell each other what they know of the store.
+	PeerCopies bool
+	// ProveConnections has new connections to a crowded back end prove themselves before they are used.
+	ProveConnections bool
+	// StartingHold is how long a request that comes while the node starts waits for its first listing.
+	StartingHold time.Duration
 }
 
 // DefaultGateway gives the settings of fields that are not set.
@@ -49,7 +74,8 @@
 	return Gateway{
 		LogLevel: "info", StopWithin: 6 * time.Second, EntryInterval: 1200 * time.Millisecond, RetryShare: 0.2,
 		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.45, RetryPace: 25 * time.Millisecond, EarlyFinish: true, Locality: 130 * time.Millisecond,
-		MaximumRequests: 2000,
+		MaximumRequests: 2000, SiblingHedges: true, LastExtras: 2, SubsetSize: 2, FewRest: true, ShareConnections: true, YoungPart: 2,
+		Ejection: true, Doubt: true, StoreTurns: true, PeerCopies: true, ProveConnections: true, StartingHold: 250 * time.Millisecond,
 	}
 }
 
@@ -75,9 +101,21 @@
 	{"connections_per_back_end", "1 to 4096", false, integer(1, 4096, func(s *Gateway) *int { return &s.Connections })},
 	{"hedge_share", "0 to 1", false, share(func(s *Gateway) *float64 { return &s.HedgeShare })},
 	{"retry_pace", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.RetryPace })},
-	{"early_finish", "true or false", false, setEarlyFinish},
+	{"early_finish", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.EarlyFinish })},
 	{"locality", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.Locality })},
 	{"maximum_requests", "1 to 1000000", false, integer(1, 1000000, func(s *Gateway) *int { return &s.MaximumRequests })},
+	{"sibling_hedges", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.SiblingHedges })},
+	{"last_extras", "0 to 1000", false, integer(0, 1000, func(s *Gateway) *int { return &s.LastExtras })},
+	{"subset_size", "0 to 1000", false, integer(0, 1000, func(s *Gateway) *int { return &s.SubsetSize })},
+	{"few_rest", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.FewRest })},
+	{"share_connections", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.ShareConnections })},
+	{"young_part", "1 to 16", false, integer(1, 16, func(s *Gateway) *int { return &s.YoungPart })},
+	{"ejection", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.Ejection })},
+	{"doubt", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.Doubt })},
+	{"store_turns", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.StoreTurns })},
+	{"peer_copies", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.PeerCopies })},
+	{"prove_connections", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.ProveConnections })},
+	{"starting_hold", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.StartingHold })},
 }
 
 func setRegions(s *Gateway, value string) bool {
@@ -92,9 +130,14 @@
 	return true
 }
 
-func setEarlyFinish(s *Gateway, value string) bool {
-	s.EarlyFinish = value == "true"
-	return value == "true" || value == "false"
+// switchAllowed is what a switch may be set to.
+const switchAllowed = "true or false"
+
+func onOff(of func(*Gateway) *bool) func(*Gateway, string) bool {
+	return func(s *Gateway, value string) bool {
+		*of(s) = value == "true"
+		return value == "true" || value == "false"
+	}
 }
 
 // LoadGateway reads the settings file of a gateway and the overrides. The failure, of code SETTINGS_INVALID, lists all problems.
