--- a/cmd/stiletrail-rehearsal/main.go
+++ b/cmd/stiletrail-rehearsal/main.go
@@ -26,6 +26,7 @@
 	addPlatform(app, commands)
 	addBackEnd(app, commands)
 	addLoad(app, commands)
+	addExperiment(app, commands)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "stiletrail-rehearsal: %s, try --help\n", err)
