--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -45,6 +45,8 @@
 	shedding    bool
 	dark        bool
 	losing      bool
+	// crowded: it still counts the connections of nodes that ended, and turns most new ones away.
+	crowded bool
 	// goneSince is when its entry went, zero while it is there.
 	goneSince time.Time
 }
@@ -222,6 +224,10 @@
 		s.mutex.Unlock()
 		return silence(ctx, 400*time.Millisecond, forward.NotSent)
 	}
+	if b.crowded && fate < 70 {
+		s.mutex.Unlock()
+		return turnedAway(ctx, send)
+	}
 	refuses := b.shedding && fate < 60
 	s.arrivals = append(s.arrivals, arrival{time.Now(), send.Call.ID, b, !refuses})
 	losing, wait := b.losing && fate < 30, time.Until(b.pausedUntil)
@@ -243,6 +249,17 @@
 	return part(send)
 }
 
+// turnedAway is what becomes of a new connection to a back end at its limit. One that must prove itself is known not to have carried the
+// request; of another the node cannot tell.
+func turnedAway(ctx context.Context, send gateway.Send) forward.Outcome {
+	outcome := silence(ctx, 4*time.Millisecond, forward.Lost)
+	if send.Prove {
+		outcome.Kind = forward.NotSent
+	}
+	outcome.TurnedAway = true
+	return outcome
+}
+
 func silence(ctx context.Context, length time.Duration, kind forward.Kind) forward.Outcome {
 	select {
 	case <-time.After(length):
@@ -261,7 +278,7 @@
 		s.locked(begin)
 		time.AfterFunc(length, func() { s.locked(finish) })
 	}
-	switch s.random.IntN(10) {
+	switch s.random.IntN(11) {
 	case 0:
 		slowness := 10 + 30*s.random.IntN(2)
 		during(func() { b.slowness = slowness }, func() { b.slowness = 1 })
@@ -287,6 +304,26 @@
 		s.startNode(pathNumber)
 	case 9:
 		s.leave(b)
+	case 10:
+		s.restartAll(length)
+	}
+}
+
+// restartAll has all nodes end and start anew. For some time back ends count the connections of the lives that ended.
+func (s *simulation) restartAll(length time.Duration) {
+	crowd := func(crowded bool) {
+		s.locked(func() {
+			for _, b := range s.backEnds {
+				b.crowded = crowded
+			}
+		})
+	}
+	crowd(true)
+	time.AfterFunc(length, func() { crowd(false) })
+	for number := range simulatedNodes {
+		s.cluster.contexts[number]()
+		s.cluster.gateways[number].Leave()
+		s.startNode(number)
 	}
 }
 
@@ -316,137 +353,3 @@
 	s.locked(func() { b.goneSince = time.Now() })
 	s.cluster.store.put(gateway.Item{Key: "back ends/" + b.entry.ID, Gone: true})
 }
-
-// watchVersions checks that no node goes back within one life, and that a change is in force where the store is well.
-func (s *simulation) watchVersions() {
-	for number, g := range s.cluster.gateways {
-		if version := g.Version(); version < s.versions[g] {
-			s.t.Errorf("%v: node %d went back from version %d to %d", time.Since(s.began), number, s.versions[g], version)
-		} else {
-			s.versions[g] = version
-		}
-	}
-}
-
-func (s *simulation) check() {
-	s.checkRuns()
-	s.checkDrains()
-	s.checkBudget()
-	for id, result := range s.ends {
-		if result.Elapsed > 4100*time.Millisecond {
-			s.t.Errorf("request %s was answered after %v", id, result.Elapsed)
-		}
-		if result.Failure == nil && result.Route.FansOut() {
-			s.checkCoverage(id, result)
-		}
-	}
-}
-
-// checkRuns: what was refused never ran, what can't be repeated ran once at most, no shard's request reached more back ends than the
-// route allows, and none the same one again without a pause.
-func (s *simulation) checkRuns() {
-	runs := map[string]int{}
-	asked := map[[2]string]map[*modelBackEnd]time.Time{}
-	for _, a := range s.arrivals {
-		if a.ran {
-			runs[a.id]++
-		}
-		key := [2]string{a.id, a.backEnd.entry.Service}
-		if asked[key] == nil {
-			asked[key] = map[*modelBackEnd]time.Time{}
-		}
-		if before, again := asked[key][a.backEnd]; again && a.at.Sub(before) < shortestPause {
-			s.t.Errorf("request %s reached %s twice within %v", a.id, a.backEnd.entry.ID, a.at.Sub(before))
-		}
-		asked[key][a.backEnd] = a.at
-	}
-	for id, result := range s.ends {
-		if result.Failure != nil && result.Failure.NotRun && runs[id] > 0 {
-			s.t.Errorf("request %s was refused as not run (%s) and ran %d times", id, result.Reason, runs[id])
-		}
-		if result.Route != nil && !result.Route.Repeatable && runs[id] > 1 {
-			s.t.Errorf("request %s can't be repeated and ran %d times", id, runs[id])
-		}
-	}
-	for key, backEnds := range asked {
-		if len(backEnds) > simulatedAttempts {
-			s.t.Errorf("request %s reached %d back ends of %s", key[0], len(backEnds), key[1])
-		}
-	}
-}
-
-// checkDrains: a back end whose entry is gone gets nothing after its time to drain.
-func (s *simulation) checkDrains() {
-	for _, a := range s.arrivals {
-		gone := a.backEnd.goneSince
-		if !gone.IsZero() && a.at.After(gone.Add(drainTime)) && !s.inOutage(gone, a.at) {
-			s.t.Errorf("%s got a request %v after its entry went", a.backEnd.entry.ID, a.at.Sub(gone))
-		}
-	}
-}
-
-// inOutage reports whether the store was in trouble at any time from one moment to another.
-func (s *simulation) inOutage(from, until time.Time) bool {
-	for _, outage := range s.outages {
-		if outage.begin.Before(until) && outage.end.After(from) {
-			return true
-		}
-	}
-	return false
-}
-
-// checkBudget: per service and window, arrivals beyond the first of each request stay within the share and the slack.
-func (s *simulation) checkBudget() {
-	const window = 10 * time.Second
-	seen := map[[2]string]bool{}
-	first := map[string][]time.Time{}
-	extra := map[string][]time.Time{}
-	for _, a := range s.arrivals {
-		service := a.backEnd.entry.Service
-		key := [2]string{a.id, service}
-		if seen[key] {
-			extra[service] = append(extra[service], a.at)
-		} else {
-			first[service] = append(first[service], a.at)
-		}
-		seen[key] = true
-	}
-	for service, times := range extra {
-		for _, last := range times {
-			extras := within(times, last.Add(-window), last)
-			requests := max(within(first[service], last.Add(-window), last), within(first[service], last.Add(-2*window), last.Add(-window)))
-			if float64(extras) > simulatedShare*float64(requests)+simulatedSlack {
-				s.t.Errorf("%s got %d extra arrivals for %d requests in a window", service, extras, requests)
-			}
-		}
-	}
-}
-
-func within(times []time.Time, after, until time.Time) int {
-	count := 0
-	for _, moment := range times {
-		if moment.After(after) && !moment.After(until) {
-			count++
-		}
-	}
-	return count
-}
-
-// checkCoverage: the parts, one of each shard, and those missing make up the shards of one version.
-func (s *simulation) checkCoverage(id string, result gateway.Result) {
-	total := shards - int(result.Version%2)
-	if result.Total != total || len(result.Signatures)+result.Missing != total {
-		s.t.Errorf("request %s: %d parts, %d missing, version %d has %d shards", id, len(result.Signatures), result.Missing, result.Version, total)
-	}
-	if float64(len(result.Signatures)) < 0.75*float64(total) {
-		s.t.Errorf("request %s: %d of %d parts are too few", id, len(result.Signatures), total)
-	}
-	parts := map[string]bool{}
-	for _, signature := range result.Signatures {
-		service := s.backEnds[signature].entry.Service
-		if parts[service] {
-			s.t.Errorf("request %s has two parts of %s", id, service)
-		}
-		parts[service] = true
-	}
-}
