--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -46,12 +46,12 @@
 	if got := len(plan.Runs()); got != 8 {
 		t.Errorf("%d runs", got)
 	}
-	bad := strings.NewReplacer("baseline: now", "baseline: then", "name: no-hedges", "name: now", "sites: [s]", "sites: []").Replace(valid)
+	bad := strings.NewReplacer("baseline: now", "baseline: then", "name: no-hedges", "name: now", "sites: [s]", "sites: []").Replace(valid) + "altered: [{name: t, site: s, times: {slots: 0}}]\n"
 	_, err = experiment.Load(write(t, bad), nil)
 	if failure.CodeOf(err) != failure.SettingsInvalid {
 		t.Fatalf("error %v", err)
 	}
-	for _, want := range []string{"there twice", `"hedge_share" is no setting`, `baseline "then"`, "no sites"} {
+	for _, want := range []string{"there twice", `"hedge_share" is no setting`, `baseline "then"`, "no sites", "multiplied by 0"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%q is missing in %v", want, err)
 		}
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -27,15 +27,25 @@
 	// Baseline is the variant that others are compared with.
 	Baseline string    `yaml:"baseline"`
 	Variants []Variant `yaml:"variants"`
-	// Sites are names of deployments.
-	Sites []string `yaml:"sites"`
-	Days  []string `yaml:"days"`
+	// Sites are names of deployments, or of altered ones.
+	Sites   []string      `yaml:"sites"`
+	Altered []AlteredSite `yaml:"altered"`
+	Days    []string      `yaml:"days"`
 	// Seeds of the days; 0 is a day's own.
 	Seeds []uint64 `yaml:"seeds"`
 	// ChargeProcessor counts processor time, which differs from run to run.
 	ChargeProcessor bool `yaml:"charge_processor"`
 }
 
+// AlteredSite is a deployment with other figures.
+type AlteredSite struct {
+	Name string `yaml:"name"`
+	// Site that it is made of.
+	Site string `yaml:"site"`
+	// Times multiplies fields of its file.
+	Times map[string]float64 `yaml:"times"`
+}
+
 // Run is one day to be played.
 type Run struct {
 	Variant string `json:"variant"`
@@ -79,6 +89,16 @@
 			}
 		}
 	}
+	for i, a := range p.Altered {
+		if a.Name == "" || a.Site == "" || a.Name == a.Site {
+			add("altered site %d: it needs a name of its own and the site that it is made of", i+1)
+		}
+		for field, factor := range a.Times {
+			if factor <= 0 {
+				add("altered site %q: %s is multiplied by %v, allowed is more than 0", a.Name, field, factor)
+			}
+		}
+	}
 	if !names[p.Baseline] {
 		add("the baseline %q is no variant", p.Baseline)
 	}
