--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,290 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/follow"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/message"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+	"stiletrail/internal/settings"
+)
+
+// fakeStore is a store in memory. Watches wait on the virtual clock.
+type fakeStore struct {
+	mutex   sync.Mutex
+	items   map[string]message.StoreRecord
+	history []message.StoreRecord
+	// meanings of the values, by value.
+	meanings map[string]gateway.Item
+	revision uint64
+	dropped  uint64
+	err      error
+	// silent watches end only when their time is over.
+	silent  bool
+	changed chan struct{}
+	calls   int
+}
+
+func newStore() *fakeStore {
+	return &fakeStore{items: map[string]message.StoreRecord{}, meanings: map[string]gateway.Item{}, changed: make(chan struct{})}
+}
+
+var (
+	errDown        = errors.New("down")
+	errHistoryLost = errors.New("history lost")
+)
+
+// Trouble implements gateway.Store.
+func (s *fakeStore) Trouble(err error) follow.Trouble {
+	if errors.Is(err, errHistoryLost) {
+		return follow.HistoryLost
+	}
+	return follow.Unavailable
+}
+
+func (s *fakeStore) put(item gateway.Item) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	record := message.StoreRecord{Key: item.Key, Revision: s.revision, Gone: item.Gone}
+	if item.Gone {
+		delete(s.items, item.Key)
+	} else {
+		record.Value = []byte(fmt.Sprint("value ", s.revision))
+		s.meanings[string(record.Value)] = item
+		s.items[item.Key] = record
+	}
+	s.history = append(s.history, record)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Decode implements gateway.Store.
+func (s *fakeStore) Decode(record message.StoreRecord) gateway.Item {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	item := s.meanings[string(record.Value)]
+	item.Key, item.Revision, item.Gone = record.Key, record.Revision, record.Gone
+	if id, found := strings.CutPrefix(record.Key, "back ends/"); found {
+		item.BackEndID = id
+	}
+	return item
+}
+
+// callCount is the number of calls so far.
+func (s *fakeStore) callCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(s)
+}
+
+// List implements gateway.Store.
+func (s *fakeStore) List(context.Context, string) (gateway.Page, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	page := gateway.Page{At: s.revision}
+	for _, record := range s.items {
+		page.Records = append(page.Records, record)
+	}
+	return page, s.err
+}
+
+// Watch implements gateway.Store.
+func (s *fakeStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]message.StoreRecord, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.set(func(s *fakeStore) { s.calls++ })
+	for {
+		items, at, changed, err := s.since(revision)
+		if err != nil || len(items) > 0 {
+			return items, at, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) since(revision uint64) (items []message.StoreRecord, at uint64, changed chan struct{}, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.err != nil {
+		return nil, 0, nil, s.err
+	}
+	if s.silent {
+		return nil, 0, make(chan struct{}), nil
+	}
+	if revision < s.dropped {
+		return nil, 0, nil, errHistoryLost
+	}
+	for _, item := range s.history {
+		if item.Revision > revision {
+			items = append(items, item)
+		}
+	}
+	return items, s.revision, s.changed, nil
+}
+
+// fakeBackEnds answers attempts by a function.
+type fakeBackEnds struct {
+	mutex  sync.Mutex
+	sends  []gateway.Send
+	answer func(ctx context.Context, send gateway.Send) forward.Outcome
+}
+
+// set has a function answer attempts from now on.
+func (b *fakeBackEnds) set(answer func(ctx context.Context, send gateway.Send) forward.Outcome) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.answer = answer
+}
+
+// sent gives the attempts so far.
+func (b *fakeBackEnds) sent() []gateway.Send {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.Clone(b.sends)
+}
+
+// Prune implements gateway.BackEnds.
+func (b *fakeBackEnds) Prune(func(string) bool) {}
+
+// Exchange implements gateway.BackEnds.
+func (b *fakeBackEnds) Exchange(ctx context.Context, send gateway.Send) forward.Outcome {
+	b.mutex.Lock()
+	b.sends = append(b.sends, send)
+	answer := b.answer
+	b.mutex.Unlock()
+	return answer(ctx, send)
+}
+
+// silentJournal takes no note.
+type silentJournal struct{}
+
+func (silentJournal) Request(*gateway.Call, *gateway.Result)                    {}
+func (silentJournal) Ejected(*forward.Attempt, forward.Outcome)                 {}
+func (silentJournal) Configuration(*routing.Table, uint64)                      {}
+func (silentJournal) Rejected(*gateway.Item)                                    {}
+func (silentJournal) BackEnd(replica.Entry, uint64)                             {}
+func (silentJournal) Vanished(string, bool)                                     {}
+func (silentJournal) Listed(int, uint64)                                        {}
+func (silentJournal) StoreLost(follow.Trouble, *failure.Failure, time.Duration) {}
+func (silentJournal) StoreAnswered(time.Duration)                               {}
+func (silentJournal) Members(int)                                               {}
+func (silentJournal) Learned(string, int, uint64)                               {}
+func (silentJournal) Fault(string)                                              {}
+func (silentJournal) PeerMalformed(string, error)                               {}
+
+const shards = 4
+
+func configuration(version uint64) gateway.Item {
+	var names []string
+	for i := range shards {
+		names = append(names, fmt.Sprint("s", i))
+	}
+	return gateway.Item{Key: "configuration", Configuration: &routing.Configuration{Version: version, Routes: []routing.Route{
+		{Name: "all", Host: "h", Prefix: "/all/", Repeatable: true, Timeout: 4 * time.Second, TargetLatency: 250 * time.Millisecond,
+			MaximumAttempts: 2, Shards: names, MinimumCoverage: 0.75, Top: 5},
+		{Name: "one", Host: "h", Prefix: "/one/", Repeatable: true, Timeout: 4 * time.Second, TargetLatency: time.Second,
+			MaximumAttempts: 2, Targets: []routing.Target{{Service: "s0", Weight: 1}}},
+	}}}
+}
+
+func backEnd(service, suffix, zone string) gateway.Item {
+	id := service + suffix
+	return gateway.Item{Key: "back ends/" + id, BackEnd: &replica.Entry{ID: id, Service: service, Address: "127.0.0.1:1", Zone: zone}}
+}
+
+// scene is a gateway with its surroundings on a virtual clock.
+type scene struct {
+	store    *fakeStore
+	backEnds *fakeBackEnds
+	gateway  *gateway.Gateway
+}
+
+// play runs a test on a virtual clock, against a gateway that knows two replicas of each shard, one in its own zone.
+func play(t *testing.T, test func(t *testing.T, s *scene)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scene{store: newStore(), backEnds: &fakeBackEnds{answer: after(20 * time.Millisecond)}}
+		s.store.put(configuration(1))
+		for i := range shards {
+			s.store.put(backEnd(fmt.Sprint("s", i), "-near", "zone"))
+			s.store.put(backEnd(fmt.Sprint("s", i), "-far", "other"))
+		}
+		loaded := settings.DefaultGateway()
+		loaded.Zone = "zone"
+		loaded.Regions = map[string]string{"zone": "a", "other": "b"}
+		s.gateway = gateway.New(seeded(loaded, 1), s.backEnds, s.store, silentJournal{})
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.gateway.Run(ctx)
+		synctest.Wait()
+		test(t, s)
+		cancel()
+		// Attempts that were withdrawn end a little later.
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
+
+// seeded gives settings with a fixed seed, so that each run of a test is alike.
+func seeded(loaded settings.Gateway, seed uint64) gateway.Settings {
+	result := gateway.FromSettings(loaded)
+	result.Seed = seed
+	return result
+}
+
+func part(send gateway.Send) forward.Outcome {
+	return forward.Outcome{Kind: forward.Answered, Response: &forward.Response{Status: 200, Signature: send.Entry.ID}}
+}
+
+// after answers each attempt after some time.
+func after(length time.Duration) func(context.Context, gateway.Send) forward.Outcome {
+	return func(ctx context.Context, send gateway.Send) forward.Outcome {
+		select {
+		case <-time.After(length):
+			return part(send)
+		case <-ctx.Done():
+			return forward.Outcome{Kind: forward.Lost}
+		}
+	}
+}
+
+// except answers attempts at some back ends by another function.
+func except(answer func(context.Context, gateway.Send) forward.Outcome, ids ...string) func(context.Context, gateway.Send) forward.Outcome {
+	others := after(20 * time.Millisecond)
+	return func(ctx context.Context, send gateway.Send) forward.Outcome {
+		for _, id := range ids {
+			if send.Entry.ID == id {
+				return answer(ctx, send)
+			}
+		}
+		return others(ctx, send)
+	}
+}
+
+func (s *scene) search() gateway.Result {
+	return s.gateway.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/all/x"})
+}
