--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -10,13 +10,14 @@
 
 // Sizes of a plot.
 const (
-	plotHeight   = 10 * vg.Centimeter
-	widthPerBar  = 2.6 * vg.Centimeter
-	plotMargin   = 6 * vg.Centimeter
-	barThickness = 12 * vg.Length(1)
+	plotWidth    = 22 * vg.Centimeter
+	heightPerBar = 0.55 * vg.Centimeter
+	plotMargin   = 3 * vg.Centimeter
+	barThickness = 8 * vg.Length(1)
 )
 
-// Plot draws the differences of one measure over all days, a bar for each variant and site with its standard errors, as PNG.
+// Plot draws the differences of one measure over all days, a bar for each variant and site with its standard errors, as PNG. The
+// baseline, which differs from nothing, is left out.
 func Plot(path string, rows []Row, measure string) error {
 	p := plot.New()
 	p.Title.Text = measure + ": difference to the baseline, with two standard errors"
@@ -24,13 +25,13 @@
 	var ends errorPoints
 	var labels []string
 	for _, r := range rows {
-		if r.Day != "" || r.Measure != measure {
+		if r.Day != "" || r.Measure != measure || (r.Difference == 0 && r.Error == 0) {
 			continue
 		}
-		ends.XYs = append(ends.XYs, plotter.XY{X: float64(len(bars)), Y: r.Difference})
-		ends.YErrors = append(ends.YErrors, struct{ Low, High float64 }{errorsToTell * r.Error, errorsToTell * r.Error})
+		ends.XYs = append(ends.XYs, plotter.XY{X: r.Difference, Y: float64(len(bars))})
+		ends.XErrors = append(ends.XErrors, struct{ Low, High float64 }{errorsToTell * r.Error, errorsToTell * r.Error})
 		bars = append(bars, r.Difference)
-		labels = append(labels, r.Variant+"\n"+r.Site)
+		labels = append(labels, r.Variant+", "+r.Site)
 	}
 	if len(bars) == 0 {
 		return failure.New(failure.InvalidArgument, "there is nothing to plot of "+measure)
@@ -39,13 +40,14 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "the plot cannot be drawn")
 	}
-	whiskers, err := plotter.NewYErrorBars(ends)
+	chart.Horizontal = true
+	whiskers, err := plotter.NewXErrorBars(ends)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "the plot cannot be drawn")
 	}
 	p.Add(plotter.NewGrid(), chart, whiskers)
-	p.NominalX(labels...)
-	if err := p.Save(plotMargin+widthPerBar*vg.Length(len(bars)), plotHeight, path); err != nil {
+	p.NominalY(labels...)
+	if err := p.Save(plotWidth, plotMargin+heightPerBar*vg.Length(len(bars)), path); err != nil {
 		return failure.Wrap(err, failure.Internal, "the plot cannot be written")
 	}
 	return nil
@@ -53,5 +55,5 @@
 
 type errorPoints struct {
 	plotter.XYs
-	plotter.YErrors
+	plotter.XErrors
 }
