--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -18,28 +18,26 @@
 	// beyond the time that any answer of its replica takes.
 	siblingFactor = 2
 	siblingSlack  = 12 * time.Millisecond
-	// hedgeRoom is kept for the way of a
-	// hedge to another region and back, over a new connection. hedgePatience is where between the moment at which a shard is late
-	// and the last one at which a hedge still saves the answer it is hedged then.
+	// hedgeRoom is kept for the way of a hedge to another region and back, over a new connection. hedgePatience is where, between the
+	// moment at which a shard is late and the last one at which a hedge still saves the answer, it is hedged while extras are few.
 	hedgeRoom     = 30 * time.Millisecond
 	hedgePatience = 0.5
 )
 
-// try sends a shard's request to the best replica that was not tried yet.
-func (r *Request) try(now time.Duration, number int, purpose Purpose) bool {
+// tryFirst sends a shard's request to the best replica, or waits for one to have room.
+func (r *Request) tryFirst(now time.Duration, number int) {
 	s := &r.shards[number]
 	chosen, busy := r.world.Pick(s.service, r.choice(s))
-	s.waiting = chosen == nil && busy && purpose == First
-	if s.waiting {
+	s.waiting = chosen == nil && busy
+	switch {
+	case chosen != nil:
+		r.send(now, number, chosen, First)
+	case busy:
 		s.wait = min(max(2*s.wait, firstWait), longestWait)
 		s.lookAgainAt = now + s.wait
+	default:
+		s.failed = true
 	}
-	if chosen == nil {
-		s.failed = s.live == 0 && !s.waiting
-		return false
-	}
-	r.send(now, number, chosen, purpose)
-	return true
 }
 
 // choice of replicas for the next attempt at a shard: none that was tried since the last pause, and none that was not asked yet
@@ -114,10 +112,8 @@
 	s.hedgeAt = now + hedgeAgain
 	chosen, busy := r.world.Pick(s.service, r.choice(s))
 	switch {
-	case busy:
-		s.denied = DeniedBusy
 	case chosen == nil:
-		s.denied = DeniedNoReplica
+		s.denied = noReplica(busy)
 	case !r.world.SpendHedge(s.service):
 		s.denied = DeniedBudget
 	default:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -227,7 +227,7 @@
 	r.shards = make([]shard, len(services))
 	for i, service := range services {
 		r.shards[i].service = service
-		r.try(now, i, First)
+		r.tryFirst(now, i)
 	}
 	r.refuseTooFew()
 	r.decide(now)
@@ -312,7 +312,7 @@
 	for i := range r.shards {
 		s := &r.shards[i]
 		if s.waiting && now >= s.lookAgainAt {
-			r.try(now, i, First)
+			r.tryFirst(now, i)
 		} else if s.paused && now >= s.lookAgainAt {
 			r.resume(now, i)
 		} else if r.mayHedge(s) && now >= s.hedgeAt {
