--- /dev/null
+++ b/internal/forward/scene_test.go
@@ -0,0 +1,146 @@
+package forward_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"stiletrail/internal/forward"
+	"stiletrail/internal/replica"
+	"stiletrail/internal/routing"
+)
+
+const millisecond = time.Millisecond
+
+// fakeWorld has replicas by service, in the order in which they are picked.
+type fakeWorld struct {
+	replicas map[string][]*replica.Replica
+	full     map[string]bool
+	budget   int
+	// recovers has the moment at which the replicas of a service are no longer ejected.
+	recovers map[string]time.Duration
+	// few: the budget allows hardly any more extra attempts.
+	few bool
+}
+
+func newWorld(budget int, services ...string) *fakeWorld {
+	w := &fakeWorld{replicas: map[string][]*replica.Replica{}, full: map[string]bool{}, budget: budget}
+	for _, service := range services {
+		for _, suffix := range []string{"-1", "-2", "-3"} {
+			w.replicas[service] = append(w.replicas[service], &replica.Replica{Entry: replica.Entry{ID: service + suffix, Service: service}})
+		}
+	}
+	return w
+}
+
+// Pick implements forward.World.
+func (w *fakeWorld) Pick(service string, choice replica.Choice) (*replica.Replica, bool) {
+	if w.full[service] {
+		return nil, true
+	}
+	for _, candidate := range w.replicas[service] {
+		if !slices.Contains(choice.Excluded, candidate) && (len(choice.Only) == 0 || slices.Contains(choice.Only, candidate)) {
+			return candidate, false
+		}
+	}
+	return nil, false
+}
+
+// Recovers implements forward.World.
+func (w *fakeWorld) Recovers(service string, _ replica.Choice) (time.Duration, bool) {
+	return w.recovers[service], len(w.replicas[service]) > 0
+}
+
+func (w *fakeWorld) spend() bool {
+	w.budget--
+	return w.budget >= 0
+}
+
+// ExtrasLeft implements forward.World.
+func (w *fakeWorld) ExtrasLeft(string) float64 {
+	if w.few {
+		return 1
+	}
+	return 100
+}
+
+// SpendHedge implements forward.World.
+func (w *fakeWorld) SpendHedge(string) bool { return w.spend() }
+
+// SpendRetry implements forward.World.
+func (w *fakeWorld) SpendRetry(string) bool { return w.spend() }
+
+// scene is a request with what it has done so far.
+type scene struct {
+	t       *testing.T
+	request *forward.Request
+	sent    []*forward.Attempt
+	cancels []*forward.Attempt
+	answer  *forward.Answer
+	now     time.Duration
+}
+
+var settings = forward.Settings{HedgeShare: 0.25, SiblingHedges: true, LastExtras: 2, EarlyFinish: true, AnswerMargin: 10 * millisecond, ComeBack: 600 * millisecond}
+
+func fanOut(shards ...string) *routing.Route {
+	return &routing.Route{
+		Name: "all", Repeatable: true, Timeout: time.Second, TargetLatency: 200 * millisecond, MaximumAttempts: 2,
+		Shards: shards, MinimumCoverage: 0.5, Top: 3,
+	}
+}
+
+func single(repeatable bool) *routing.Route {
+	return &routing.Route{
+		Name: "one", Repeatable: repeatable, Timeout: time.Second, TargetLatency: 200 * millisecond, MaximumAttempts: 2,
+		Targets: []routing.Target{{Service: "a", Weight: 1}},
+	}
+}
+
+func start(t *testing.T, route *routing.Route, world forward.World) *scene {
+	s := &scene{t: t}
+	request, actions := forward.Start(0, forward.Parameters{Route: route, Service: "a"}, settings, world)
+	s.request = request
+	s.take(actions)
+	return s
+}
+
+func (s *scene) take(actions []forward.Action) {
+	for _, action := range actions {
+		switch {
+		case action.Send != nil:
+			s.sent = append(s.sent, action.Send)
+		case action.Cancel != nil:
+			s.cancels = append(s.cancels, action.Cancel)
+		case action.Finish != nil:
+			if s.answer != nil {
+				s.t.Fatal("answered twice")
+			}
+			s.answer = action.Finish
+		}
+	}
+}
+
+func (s *scene) at(now time.Duration) *scene {
+	s.now = now
+	s.take(s.request.Tick(now))
+	return s
+}
+
+func (s *scene) end(attempt int, outcome forward.Outcome) *scene {
+	s.take(s.request.Receive(s.now, s.sent[attempt], outcome))
+	return s
+}
+
+func (s *scene) sends() []string {
+	var ids []string
+	for _, attempt := range s.sent {
+		ids = append(ids, attempt.Replica.ID)
+	}
+	return ids
+}
+
+func part(signature, body string) forward.Outcome {
+	return forward.Outcome{Kind: forward.Answered, Response: &forward.Response{Status: 200, Signature: signature, Body: []byte(body)}}
+}
+
+func ended(kind forward.Kind) forward.Outcome { return forward.Outcome{Kind: kind} }
