--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,7 @@
 	// MostConnections bounds what of a back end's connections one node may use, however few nodes are known.
 	MostConnections int
 	// RetrySlack is what all nodes together may send extra in a window beyond the share.
-	RetrySlack int
+	RetrySlack float64
 	// RetryShare of the requests of a service may be extra attempts in any RetryWindow, over all nodes.
 	RetryShare  float64
 	RetryWindow time.Duration
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -225,5 +225,5 @@
 	if g.nodes == 0 {
 		return 0
 	}
-	return float64(g.settings.Load().RetrySlack) / float64(2*g.nodes)
+	return g.settings.Load().RetrySlack / float64(2*g.nodes)
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -26,7 +26,7 @@
 	RetryShare  float64
 	RetryWindow time.Duration
 	// RetrySlack is what all nodes together may send extra in a window beyond the share.
-	RetrySlack int
+	RetrySlack float64
 	// PeerAddress serves other nodes, Seeds are those of some of them; without it the node goes by the store alone.
 	PeerAddress string
 	Seeds       []string
@@ -97,7 +97,7 @@
 	{"entry_interval", "50ms to 1m", false, duration(50*time.Millisecond, time.Minute, func(s *Gateway) *time.Duration { return &s.EntryInterval })},
 	{"retry_share", "0 to 1", false, share(func(s *Gateway) *float64 { return &s.RetryShare })},
 	{"retry_window", "1s to 10m", false, duration(time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.RetryWindow })},
-	{"retry_slack", "0 to 1000000", false, integer(0, 1000000, func(s *Gateway) *int { return &s.RetrySlack })},
+	{"retry_slack", "0 to 1000000", false, fraction(0, 1000000, func(s *Gateway) *float64 { return &s.RetrySlack })},
 	{"peer_address", addressAllowed, false, address(func(s *Gateway) *string { return &s.PeerAddress })},
 	{"seeds", "a list of IP addresses and ports", false, func(s *Gateway, value string) bool { return setAddresses(&s.Seeds, value) }},
 	{"connections_per_back_end", "1 to 4096", false, integer(1, 4096, func(s *Gateway) *int { return &s.Connections })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,10 +109,14 @@
 }
 
 func share[T any](target func(*T) *float64) func(*T, string) bool {
+	return fraction(0, 1, target)
+}
+
+func fraction[T any](minimum, maximum float64, target func(*T) *float64) func(*T, string) bool {
 	return func(s *T, value string) bool {
 		number, err := strconv.ParseFloat(value, 64)
 		*target(s) = number
-		return err == nil && number >= 0 && number <= 1
+		return err == nil && number >= minimum && number <= maximum
 	}
 }
 
