--- /dev/null
+++ b/internal/standin/network_test.go
@@ -0,0 +1,67 @@
+package standin_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"stiletrail/internal/standin"
+)
+
+// dial opens a connection on a network and returns both ends.
+func dial(t *testing.T, n *standin.Network, l net.Listener) (near, far net.Conn) {
+	t.Helper()
+	near, err := n.Dial(context.Background(), l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if far, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
+
+// TestNetwork: bytes arrive after the delay and in order, the end of a connection after them; a connection that has fallen silent carries
+// neither, and one opened later does.
+func TestNetwork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := standin.NewNetwork(10)
+		l, err := n.Listen("a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		near, far := dial(t, n, l)
+		began := time.Now()
+		for _, text := range []string{"one ", "two"} {
+			if _, err := near.Write([]byte(text)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_ = near.Close()
+		if text, err := io.ReadAll(far); string(text) != "one two" || err != nil || time.Since(began) != 10*time.Millisecond {
+			t.Errorf("read %q, %v, after %v", text, err, time.Since(began))
+		}
+		near, far = dial(t, n, l)
+		n.Silence()
+		if _, err := near.Write([]byte("lost")); err != nil {
+			t.Errorf("a write on a silent connection: %v", err)
+		}
+		_ = near.Close()
+		_ = far.SetReadDeadline(time.Now().Add(time.Hour))
+		if _, err := far.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("a silent connection is read: %v", err)
+		}
+		near, far = dial(t, n, l)
+		if _, err := near.Write([]byte("x")); err != nil {
+			t.Error(err)
+		}
+		if count, err := far.Read(make([]byte, 8)); count != 1 || err != nil {
+			t.Errorf("read %d bytes, %v", count, err)
+		}
+	})
+}
--- a/internal/transport/line.go
+++ b/internal/transport/line.go
@@ -61,8 +61,7 @@
 func (l *line) dial() (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(l.transport.ctx, dialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", l.key.to)
+	return l.transport.network.Dial(ctx, l.key.to)
 }
 
 // fail reports what waits for a peer that cannot be reached, for a short while, before it is dialled again.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -43,6 +43,24 @@
 	ControlSizes = Sizes{Queue: 64, Buffer: 1 << 10}
 )
 
+// Network opens what a transport talks over. TCP is a process's; tests have others.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// TCP is the network of the machine.
+type TCP struct{}
+
+// Listen implements Network.
+func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Dial implements Network.
+func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Handler takes what happens on connections. Calls come from many goroutines.
 type Handler interface {
 	// Message is a message from a peer.
@@ -75,6 +93,7 @@
 type Transport struct {
 	address  string
 	sizes    Sizes
+	network  Network
 	listener net.Listener
 	handler  Handler
 	incoming chan struct{}
@@ -97,7 +116,12 @@
 
 // ListenWith is Listen with other sizes.
 func ListenWith(listen, advertised string, sizes Sizes) (*Transport, error) {
-	listener, err := net.Listen("tcp", listen)
+	return ListenOn(TCP{}, listen, advertised, sizes)
+}
+
+// ListenOn is ListenWith on a network of the caller's.
+func ListenOn(network Network, listen, advertised string, sizes Sizes) (*Transport, error) {
+	listener, err := network.Listen(listen)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.SettingsInvalid, "the peer address cannot be listened on")
 	}
@@ -106,7 +130,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Transport{
-		address: advertised, sizes: sizes, listener: listener, incoming: make(chan struct{}, maximumIncoming),
+		address: advertised, sizes: sizes, network: network, listener: listener, incoming: make(chan struct{}, maximumIncoming),
 		ctx: ctx, stop: stop, lines: map[lineKey]*line{},
 	}, nil
 }
