--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -76,21 +76,22 @@
 	pool.Connected = measured.Connected
 	store := platform.NewStoreClient(loaded.StoreAddress)
 	node := gateway.New(gateway.FromSettings(loaded), platform.NewBackEnds(pool), store, measured)
-	measured.Observe(telemetry.Source{
-		Gateway: node, BackEndConnections: pool.Open.Load, BackEndConnectionsOpened: pool.Opened.Load, LogLinesDropped: writer.Dropped,
-	})
 	addresses := serving.Addresses{Callers: loaded.CallerAddress, Ready: loaded.ReadyAddress, Metrics: loaded.MetricsAddress}
 	server, err := serving.Start(node, addresses, platform.NewIngress(node), measured, log)
 	if err != nil {
 		log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": err.Error()})
 		return exitFailed
 	}
-	closePeers, err := join(node, loaded)
+	closePeers, frames, err := join(node, loaded)
 	if err != nil {
 		log.Lifecycle(decisionlog.EventStop, map[string]any{"reason": err.Error()})
 		return exitFailed
 	}
 	defer closePeers()
+	measured.Observe(telemetry.Source{
+		Gateway: node, BackEndConnections: pool.Open.Load, BackEndConnectionsOpened: pool.Opened.Load, LogLinesDropped: writer.Dropped,
+		PeerFrames: frames,
+	})
 	log.Lifecycle(decisionlog.EventStart, map[string]any{"settings": loaded})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -98,14 +99,15 @@
 	return wait(newReloader(file, loaded, node, store, log), server, log)
 }
 
-// join listens for other nodes and makes the node a member, where the settings name an address for that.
-func join(node *gateway.Gateway, loaded settings.Gateway) (closePeers func(), err error) {
+// join listens for other nodes and makes the node a member, where the settings name an address for that. It returns the count of what is
+// exchanged with them, nil where they name none.
+func join(node *gateway.Gateway, loaded settings.Gateway) (closePeers func(), frames *transport.Counters, err error) {
 	if loaded.PeerAddress == "" {
-		return func() {}, nil
+		return func() {}, nil, nil
 	}
 	peers, err := transport.ListenWith(loaded.PeerAddress, loaded.PeerAddress, transport.ControlSizes)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	self := membership.Member{
 		Address: loaded.PeerAddress, Zone: loaded.Zone, Region: loaded.Regions[loaded.Zone], Generation: rand.Uint64(),
@@ -124,7 +126,7 @@
 		case <-time.After(peerCloseTime):
 		}
 	}
-	return closeSoon, nil
+	return closeSoon, &peers.Counters, nil
 }
 
 // wait handles signals until the node stops.
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
@@ -33,6 +34,7 @@
 	fieldTotal    = "total"
 	fieldElapsed  = "elapsed_ms"
 	fieldAge      = "age_ms"
+	fieldCopyAge  = "copy_age_ms"
 	fieldNode     = "node"
 	fieldPeer     = "peer"
 	// What a request was turned away by, in hundredths: shards lacking of those that may lack, attempts shed, and the share turned away.
@@ -59,6 +61,8 @@
 	EventFault          = "fault"
 	EventStoreLost      = "store_lost"
 	EventStoreRegained  = "store_regained"
+	EventCopyStale      = "copy_stale"
+	EventCopyFresh      = "copy_fresh"
 	requestsPerSecond   = 200
 	ordinarySampleEvery = 20
 )
@@ -98,7 +102,7 @@
 	}
 	fields := logrus.Fields{
 		fieldEvent: EventRequest, fieldRequest: call.ID, fieldVersion: result.Version, fieldElapsed: result.Elapsed.Milliseconds(),
-		fieldReason: string(result.Reason), fieldOutcome: result.Outcome(),
+		fieldReason: string(result.Reason), fieldOutcome: result.Outcome(), fieldCopyAge: result.CopyAge,
 	}
 	if result.Route != nil {
 		fields[fieldRoute] = result.Route.Name
@@ -221,6 +225,14 @@
 	l.log.WithFields(logrus.Fields{fieldEvent: EventStoreRegained, fieldAge: contactAge.Milliseconds()}).Info(EventStoreRegained)
 }
 
+// CopyStale implements gateway.Journal.
+func (l *Log) CopyStale(age clock.Ms) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventCopyStale, fieldAge: age}).Warn(EventCopyStale)
+}
+
+// CopyFresh implements gateway.Journal.
+func (l *Log) CopyFresh() { l.log.WithField(fieldEvent, EventCopyFresh).Info(EventCopyFresh) }
+
 // Members implements gateway.Journal.
 func (l *Log) Members(alive int) {
 	l.log.WithFields(logrus.Fields{fieldEvent: EventMembers, "alive": alive}).Info(EventMembers)
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -75,7 +75,7 @@
 	}
 	return &gateway.Result{
 		Answer: forward.Answer{Failure: failed, Missing: missing, Total: 10, Reason: forward.TargetReached},
-		Route:  &routing.Route{Name: "route"}, Version: 7, Attempts: []*forward.Attempt{attempt},
+		Route:  &routing.Route{Name: "route"}, Version: 7, CopyAge: 340, Attempts: []*forward.Attempt{attempt},
 	}
 }
 
@@ -98,7 +98,7 @@
 	if len(lines) != 3 {
 		t.Fatalf("%d lines for three requests that were partial, hedged and failed", len(lines))
 	}
-	for _, want := range []string{`"request":"request"`, `"route":"route"`, `"version":7`, "back-end", "lost: reset", `"reason":"target_reached"`} {
+	for _, want := range []string{`"request":"request"`, `"route":"route"`, `"version":7`, `"copy_age_ms":340`, "back-end", "lost: reset", `"reason":"target_reached"`} {
 		if !strings.Contains(lines[0], want) {
 			t.Errorf("%s does not hold %s", lines[0], want)
 		}
@@ -123,6 +123,17 @@
 	}
 }
 
+// TestCopyStale: how old the copy is that nothing confirms, and that it is complete again.
+func TestCopyStale(t *testing.T) {
+	lines := logged(func(log *decisionlog.Log) {
+		log.CopyStale(2100)
+		log.CopyFresh()
+	})
+	if len(lines) != 2 || !strings.Contains(lines[0], `"age_ms":2100,"event":"copy_stale"`) || !strings.Contains(lines[1], "copy_fresh") {
+		t.Errorf("lines %q", lines)
+	}
+}
+
 // TestStoreLostOnce: one line when the store is lost, one when it answers again.
 func TestStoreLostOnce(t *testing.T) {
 	lines := logged(func(log *decisionlog.Log) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -124,6 +124,9 @@
 // matterStore is how a node stands with the store.
 const matterStore = "store"
 
+// matterCopy is that of lines on how old the copy of the store is.
+const matterCopy = "copy"
+
 // matterOf names what a line is about, where it bears on the request.
 func matterOf(known, request *line) string {
 	switch known.Event {
@@ -131,6 +134,8 @@
 		return known.Event
 	case decisionlog.EventStoreLost, decisionlog.EventStoreRegained:
 		return matterStore
+	case decisionlog.EventCopyStale, decisionlog.EventCopyFresh:
+		return matterCopy
 	case decisionlog.EventListed:
 		return known.Event
 	case decisionlog.EventConfiguration:
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/replica"
 )
 
@@ -20,6 +21,9 @@
 	StoreRevision uint64
 	// StoreContactAge is the time since the store last answered, negative if it never did.
 	StoreContactAge time.Duration
+	// CopyAge is how long ago the copy of the store was last known to be complete, by the store itself or another node; negative if it
+	// never was.
+	CopyAge clock.Ms
 	// Nodes known, 0 while this one has not joined the others.
 	Nodes int
 	// BackEnds counts back ends by state.
@@ -32,7 +36,7 @@
 	defer g.mutex.Unlock()
 	now := g.now()
 	belief := Belief{
-		StoreRevision: g.view.Revision(), StoreContactAge: g.follower.ContactAge(now), Nodes: g.nodes, BackEnds: map[string]int{},
+		StoreRevision: g.view.Revision(), StoreContactAge: g.follower.ContactAge(now), CopyAge: g.copyAge(now), Nodes: g.nodes, BackEnds: map[string]int{},
 	}
 	g.replicas.All(func(known *replica.Replica) { belief.BackEnds[stateOf(now, known)]++ })
 	return belief
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
@@ -193,6 +194,8 @@
 func (silentJournal) Listed(int, uint64)                                        {}
 func (silentJournal) StoreLost(follow.Trouble, *failure.Failure, time.Duration) {}
 func (silentJournal) StoreAnswered(time.Duration)                               {}
+func (silentJournal) CopyStale(clock.Ms)                                        {}
+func (silentJournal) CopyFresh()                                                {}
 func (silentJournal) Members(int)                                               {}
 func (silentJournal) Learned(string, int, uint64)                               {}
 func (silentJournal) Fault(string)                                              {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,6 +134,8 @@
 	// this node has not joined them.
 	nodes int
 	duty  duty
+	// stale: the journal was told that nothing confirms the copy of the store.
+	stale bool
 	// view is this node's copy of the store; listedKeys collects what a listing under way has named so far.
 	view       *spread.Core
 	listedKeys map[string]bool
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
@@ -21,6 +22,9 @@
 	Listed(items int, revision uint64)
 	StoreLost(trouble follow.Trouble, cause *failure.Failure, contactAge time.Duration)
 	StoreAnswered(contactAge time.Duration)
+	// CopyStale: nothing has confirmed the copy of the store for that long; CopyFresh: it is complete again.
+	CopyStale(age clock.Ms)
+	CopyFresh()
 	Members(alive int)
 	// Learned: a peer told what the store had not.
 	Learned(from string, records int, revision uint64)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -83,6 +83,7 @@
 		now := g.now()
 		g.tellMembers(g.members.Tick(now))
 		g.tell(g.view.Tick(now, g.served(now), g.told(now)))
+		g.noteAge(now)
 		if g.young(now) != young {
 			young = !young
 			g.shareOut()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -19,6 +19,8 @@
 	// Version of the configuration that decided it, 0 without one.
 	Version uint64
 	Route   *routing.Route
+	// CopyAge is how long before the call the copy of the store was last known to be complete, negative if it never was.
+	CopyAge clock.Ms
 	// Attempts that were decided, and when the call arrived on the gateway's clock and how long it took.
 	Attempts []*forward.Attempt
 	Arrived  time.Duration
@@ -42,8 +44,11 @@
 // Serve runs a call to its answer. The context ends when the caller leaves.
 func (g *Gateway) Serve(ctx context.Context, call *Call) Result {
 	arrived := g.now()
+	g.mutex.Lock()
+	age := g.copyAge(arrived)
+	g.mutex.Unlock()
 	result := g.admit(ctx, call, arrived)
-	result.Arrived = arrived
+	result.Arrived, result.CopyAge = arrived, age
 	result.Elapsed = g.now() - arrived
 	g.journal.Request(call, &result)
 	return result
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -276,6 +276,7 @@
 		pause(ctx, expireInterval)
 		addresses := map[string]bool{}
 		g.mutex.Lock()
+		g.noteAge(g.now())
 		for _, id := range g.replicas.Expire(g.now()) {
 			g.journal.Vanished(id, true)
 		}
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -74,6 +74,7 @@
 // confirmed takes in that the store has told all changes after a revision, and tells those that stand by.
 func (g *Gateway) confirmed(now time.Duration, since uint64, records []message.StoreRecord, settled bool) {
 	g.view.Confirm(now)
+	g.noteAge(now)
 	if g.duty.shared && g.duty.watches {
 		g.tell(g.view.Tell(now, g.duty.charges, since, records, settled))
 		g.tell(g.view.Tell(now, g.duty.others, since, nil, settled))
--- a/internal/spread/confirmation.go
+++ b/internal/spread/confirmation.go
@@ -24,6 +24,11 @@
 	return c.confirmed.known && clock.Of(now)-c.confirmed.at <= within
 }
 
+// Age is how long ago the copy was last known to be complete; false where it never was.
+func (c *Core) Age(now time.Duration) (age clock.Ms, known bool) {
+	return max(0, clock.Of(now)-c.confirmed.at), c.confirmed.known
+}
+
 // claim takes in what a peer says of when the store held nothing beyond a revision. It tells of the own copy once that has the revision,
 // since the own copy then has all that the peer's had.
 func (c *Core) claim(now time.Duration, revision uint64, m message.Confirmation) {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -10,6 +10,7 @@
 
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
+	"stiletrail/internal/transport"
 )
 
 // latencyBuckets in seconds.
@@ -22,6 +23,8 @@
 	BackEndConnections       func() int64
 	BackEndConnectionsOpened func() int64
 	LogLinesDropped          func() uint64
+	// PeerFrames counts frames exchanged with other nodes; nil on a node without them.
+	PeerFrames *transport.Counters
 }
 
 // Metrics wraps a Journal and counts what it is told.
@@ -109,6 +112,7 @@
 	gauge("stiletrail_requests_under_way", func() float64 { return float64(source.Gateway.UnderWay()) })
 	gauge("stiletrail_configuration_version", func() float64 { return float64(source.Gateway.Version()) })
 	gauge("stiletrail_store_contact_age_seconds", func() float64 { return source.Gateway.Belief().StoreContactAge.Seconds() })
+	gauge("stiletrail_copy_age_seconds", func() float64 { return source.Gateway.Belief().CopyAge.Duration().Seconds() })
 	gauge("stiletrail_store_revision", func() float64 { return float64(source.Gateway.Belief().StoreRevision) })
 	gauge("stiletrail_nodes", func() float64 { return float64(source.Gateway.Belief().Nodes) })
 	for _, state := range []string{gateway.BackEndReady, gateway.BackEndDraining, gateway.BackEndEjected, gateway.BackEndDoubtful} {
@@ -116,6 +120,11 @@
 	}
 	gauge("stiletrail_back_end_connections", func() float64 { return float64(source.BackEndConnections()) })
 	gauge("stiletrail_back_end_connections_opened_total", func() float64 { return float64(source.BackEndConnectionsOpened()) })
+	if frames := source.PeerFrames; frames != nil {
+		gauge("stiletrail_peer_frames_sent_total", func() float64 { return float64(frames.SentFrames.Load()) })
+		gauge("stiletrail_peer_frames_received_total", func() float64 { return float64(frames.ReceivedFrames.Load()) })
+		gauge("stiletrail_peer_frames_undelivered_total", func() float64 { return float64(frames.UndeliveredFrames.Load()) })
+	}
 	gauge("stiletrail_log_lines_dropped_total", func() float64 { return float64(source.LogLinesDropped()) })
 }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -12,6 +12,7 @@
 	"stiletrail/internal/replica"
 	"stiletrail/internal/settings"
 	"stiletrail/internal/telemetry"
+	"stiletrail/internal/transport"
 )
 
 // noted is a journal that counts requests.
@@ -28,9 +29,11 @@
 	journal := &noted{}
 	measured := telemetry.New(journal)
 	node := gateway.New(gateway.FromSettings(settings.DefaultGateway()), nil, nil, measured)
+	frames := &transport.Counters{}
+	frames.SentFrames.Store(5)
 	measured.Observe(telemetry.Source{
 		Gateway: node, BackEndConnections: func() int64 { return 3 }, BackEndConnectionsOpened: func() int64 { return 9 },
-		LogLinesDropped: func() uint64 { return 2 },
+		LogLinesDropped: func() uint64 { return 2 }, PeerFrames: frames,
 	})
 	attempt := &forward.Attempt{
 		Replica: &replica.Replica{}, Purpose: forward.Hedge, StartedAt: time.Second, EndedAt: 1100 * time.Millisecond,
@@ -52,6 +55,7 @@
 		`stiletrail_attempt_seconds_count{purpose="hedge"} 1`, `stiletrail_request_seconds_count 3`,
 		`stiletrail_queue_seconds_sum 0.03`, `stiletrail_connect_seconds_sum 0.007`,
 		`stiletrail_ready 0`, `stiletrail_back_end_connections 3`, `stiletrail_log_lines_dropped_total 2`,
+		`stiletrail_peer_frames_sent_total 5`, `stiletrail_peer_frames_received_total 0`, `stiletrail_copy_age_seconds -0.001`,
 		`stiletrail_back_ends{state="ready"} 0`, `process_resident_memory_bytes`,
 	} {
 		if !strings.Contains(text, want) {
