--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -57,6 +57,7 @@
 	EventListed         = "store_listed"
 	EventMembers        = "members"
 	EventLearned        = "learned_from_peer"
+	EventPeerSilent     = "peer_silent"
 	EventPeerMalformed  = "peer_malformed"
 	EventFault          = "fault"
 	EventStoreLost      = "store_lost"
@@ -245,6 +246,11 @@
 	}).Info(EventLearned)
 }
 
+// PeerSilent implements gateway.Journal.
+func (l *Log) PeerSilent(peer string) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventPeerSilent, fieldPeer: peer}).Warn(EventPeerSilent)
+}
+
 // PeerMalformed implements gateway.Journal.
 func (l *Log) PeerMalformed(remote string, err error) {
 	l.log.WithFields(logrus.Fields{fieldEvent: EventPeerMalformed, fieldPeer: remote, fieldReason: err.Error()}).Warn(EventPeerMalformed)
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -199,6 +199,7 @@
 func (silentJournal) Members(int)                                               {}
 func (silentJournal) Learned(string, int, uint64)                               {}
 func (silentJournal) Fault(string)                                              {}
+func (silentJournal) PeerSilent(string)                                         {}
 func (silentJournal) PeerMalformed(string, error)                               {}
 
 const shards = 4
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -28,6 +28,8 @@
 	Members(alive int)
 	// Learned: a peer told what the store had not.
 	Learned(from string, records int, revision uint64)
+	// PeerSilent: a connection to a peer was given up, since nothing came back on it.
+	PeerSilent(peer string)
 	PeerMalformed(remote string, err error)
 	// Fault: something went wrong in this process that should not.
 	Fault(text string)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -141,6 +141,9 @@
 // Undelivered implements transport.Handler. What is due is said again by itself.
 func (g *Gateway) Undelivered(string, message.Message, bool) {}
 
+// Silent implements transport.Handler.
+func (g *Gateway) Silent(peer string) { g.journal.PeerSilent(peer) }
+
 // Disconnected implements transport.Handler.
 func (g *Gateway) Disconnected(string) {}
 
--- a/internal/message/store.go
+++ b/internal/message/store.go
@@ -1,5 +1,7 @@
 package message
 
+import "stiletrail/internal/clock"
+
 // StoreDigest says how much of the store a node knows.
 type StoreDigest struct {
 	// Revision up to which the sender knows all changes; 0 while it knows nothing whole.
@@ -20,6 +22,32 @@
 	c.uint32(&m.AgeMs)
 }
 
+// Aged is a message that tells how old something is: the time that it waits to be sent is added to that.
+type Aged interface {
+	Message
+	WithAge(waited clock.Ms) Message
+}
+
+// WithAge returns the confirmation as it is some time later.
+func (m Confirmation) WithAge(waited clock.Ms) Confirmation {
+	m.AgeMs += uint32(waited)
+	return m
+}
+
+// WithAge implements Aged.
+func (m *StoreDigest) WithAge(waited clock.Ms) Message {
+	older := *m
+	older.Confirmation = m.Confirmation.WithAge(waited)
+	return &older
+}
+
+// WithAge implements Aged.
+func (m *StoreRecords) WithAge(waited clock.Ms) Message {
+	older := *m
+	older.Confirmation = m.Confirmation.WithAge(waited)
+	return &older
+}
+
 // Kind implements Message.
 func (*StoreDigest) Kind() Kind { return KindStoreDigest }
 func (m *StoreDigest) fields(c *codec) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -239,6 +239,11 @@
 	n.step(func(now time.Duration) engine.Output { return n.engine.Undelivered(now, to, m, written) })
 }
 
+// Silent implements transport.Handler.
+func (n *Node) Silent(peer string) {
+	n.log.WithField("peer", peer).Warn("a connection to a peer fell silent")
+}
+
 // Disconnected implements transport.Handler.
 func (n *Node) Disconnected(peer string) {
 	n.step(func(now time.Duration) engine.Output { return n.engine.Disconnected(now, peer) })
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -169,27 +169,27 @@
 }
 
 // take reads what has arrived. With nothing there it returns when to look again, if that is known, and what to wait for.
-func (s *stream) take(data []byte) (n int, err error, next time.Time, changed <-chan struct{}) {
+func (s *stream) take(data []byte) (n int, next time.Time, changed <-chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.silent {
-		return 0, nil, time.Time{}, s.changed
+		return 0, time.Time{}, s.changed, nil
 	}
 	if len(s.pieces) == 0 {
 		if s.ended {
-			return 0, io.EOF, time.Time{}, nil
+			return 0, time.Time{}, nil, io.EOF
 		}
-		return 0, nil, time.Time{}, s.changed
+		return 0, time.Time{}, s.changed, nil
 	}
 	first := &s.pieces[0]
 	if time.Now().Before(first.at) {
-		return 0, nil, first.at, s.changed
+		return 0, first.at, s.changed, nil
 	}
 	n = copy(data, first.data)
 	if first.data = first.data[n:]; len(first.data) == 0 {
 		s.pieces = s.pieces[1:]
 	}
-	return n, nil, time.Time{}, nil
+	return n, time.Time{}, nil, nil
 }
 
 // end is one end of a connection.
@@ -213,7 +213,7 @@
 		if !deadline.IsZero() && !time.Now().Before(deadline) {
 			return 0, os.ErrDeadlineExceeded
 		}
-		n, err, next, changed := e.in.take(data)
+		n, next, changed, err := e.in.take(data)
 		if n > 0 || err != nil || len(data) == 0 {
 			return n, err
 		}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -123,6 +123,7 @@
 	if frames := source.PeerFrames; frames != nil {
 		gauge("stiletrail_peer_frames_sent_total", func() float64 { return float64(frames.SentFrames.Load()) })
 		gauge("stiletrail_peer_frames_received_total", func() float64 { return float64(frames.ReceivedFrames.Load()) })
+		gauge("stiletrail_peer_connections_silent_total", func() float64 { return float64(frames.SilentConnections.Load()) })
 		gauge("stiletrail_peer_frames_undelivered_total", func() float64 { return float64(frames.UndeliveredFrames.Load()) })
 	}
 	gauge("stiletrail_log_lines_dropped_total", func() float64 { return float64(source.LogLinesDropped()) })
--- a/internal/transport/line.go
+++ b/internal/transport/line.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/message"
 )
 
@@ -80,27 +81,50 @@
 	}
 }
 
-// write sends what is queued over one connection until it breaks or is idle.
+// write sends what is queued over one connection until it breaks, falls silent or is idle. No write tells of silence: frames go into the
+// machine's own buffer. So the peer acknowledges each one, and a connection on which that takes too long is given up for a new one.
 func (l *line) write(connection net.Conn, first queued) {
+	over := make(chan struct{})
+	defer close(over)
 	defer func() { _ = connection.Close() }()
-	broken := l.watch(connection)
+	acknowledged := l.watch(connection, over)
 	writer := bufio.NewWriterSize(connection, l.transport.sizes.Buffer)
 	hello := message.Encode(&message.Hello{Address: l.transport.address})
 	_, _ = writer.Write(hello)
-	idle := time.NewTimer(idleTimeout)
+	idle, overdue := time.NewTimer(idleTimeout), time.NewTimer(idleTimeout)
 	defer idle.Stop()
-	item := first
+	defer overdue.Stop()
+	unacknowledged := 0
+	next := &first
 	for {
-		if !l.writeBatch(connection, writer, item) {
-			l.lost()
-			return
+		if next != nil {
+			frames, size, sound := l.writeBatch(connection, writer, *next)
+			if !sound {
+				l.lost()
+				return
+			}
+			if unacknowledged == 0 || size > slowestLink {
+				overdue.Reset(l.key.acknowledgedWithin(size))
+			}
+			unacknowledged += frames
+			idle.Reset(idleTimeout)
+			next = nil
 		}
-		idle.Reset(idleTimeout)
 		select {
-		case item = <-l.queue:
-		case <-broken:
-			l.lost()
-			return
+		case item := <-l.queue:
+			next = &item
+		case count, open := <-acknowledged:
+			if !open {
+				l.lost()
+				return
+			}
+			unacknowledged -= count
+			overdue.Reset(l.key.acknowledgedWithin(0))
+		case <-overdue.C:
+			if unacknowledged > 0 {
+				l.silent(connection)
+				return
+			}
 		case <-idle.C:
 			return
 		case <-l.transport.ctx.Done():
@@ -109,27 +133,58 @@
 	}
 }
 
-// watch returns a channel that closes when the peer closes the connection, on which it never sends.
-func (l *line) watch(connection net.Conn) <-chan struct{} {
-	broken := make(chan struct{})
+// acknowledgedWithin is how long frames of some bytes together may stay unacknowledged.
+func (k lineKey) acknowledgedWithin(size int) time.Duration {
+	transfer := time.Duration(size) * time.Second / slowestLink
+	if k.control {
+		return controlSilence + transfer
+	}
+	return querySilence + transfer
+}
+
+// silent gives up a connection on which nothing is acknowledged. What the machine still holds for it is dropped: news that arrives much later
+// would pass for recent.
+func (l *line) silent(connection net.Conn) {
+	if socket, ok := connection.(*net.TCPConn); ok {
+		_ = socket.SetLinger(0)
+	}
+	l.transport.Counters.SilentConnections.Add(1)
+	go l.transport.handler.Silent(l.key.to)
+	l.lost()
+}
+
+// watch returns how many more frames the the peer has acknowledged; the channel closes when the peer closes the connection.
+func (l *line) watch(connection net.Conn, over <-chan struct{}) <-chan int {
+	acknowledged := make(chan int)
 	l.transport.tasks.Go(func() {
-		defer close(broken)
+		defer close(acknowledged)
 		unregister := context.AfterFunc(l.transport.ctx, func() { _ = connection.Close() })
 		defer unregister()
-		var one [1]byte
-		_, _ = connection.Read(one[:])
+		var received [64]byte
+		for {
+			read, err := connection.Read(received[:])
+			if err != nil {
+				return
+			}
+			select {
+			case acknowledged <- read:
+			case <-over:
+				return
+			}
+		}
 	})
-	return broken
+	return acknowledged
 }
 
-// writeBatch writes an item and all that is queued behind it, then flushes. After an error the peer may have got any of
-// the batch.
-func (l *line) writeBatch(connection net.Conn, writer *bufio.Writer, item queued) bool {
+// writeBatch writes an item and all that is queued behind it, then flushes, and returns the frames and bytes that it wrote. After an error the
+// peer may have got any of the batch.
+func (l *line) writeBatch(connection net.Conn, writer *bufio.Writer, item queued) (frames, size int, sound bool) {
 	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
 	var batch []message.Message
 	for {
-		if l.encode(writer, item) {
+		if encoded := l.encode(writer, item); encoded > 0 {
 			batch = append(batch, item.message)
+			size += encoded
 		}
 		select {
 		case item = <-l.queue:
@@ -142,29 +197,32 @@
 		for _, m := range batch {
 			l.transport.undelivered(l.key.to, m, true)
 		}
-		return false
+		return 0, 0, false
 	}
-	return true
+	return len(batch), size, true
 }
 
-// encode writes one frame into the buffer. A sub-query whose time ran out while it was queued, as in a process that was
+// encode writes one frame into the buffer and returns its size, 0 for one that is not sent. A sub-query whose time ran out while it was queued, as in a process that was
 // frozen, is not written any more.
-func (l *line) encode(writer *bufio.Writer, item queued) bool {
+func (l *line) encode(writer *bufio.Writer, item queued) int {
 	if sub, ok := item.message.(*message.SubQuery); ok {
 		waited := uint64(time.Since(item.at).Microseconds())
 		if waited >= sub.RemainingMicroseconds {
 			l.transport.undelivered(l.key.to, item.message, false)
-			return false
+			return 0
 		}
 		shortened := *sub
 		shortened.RemainingMicroseconds -= waited
 		item.message = &shortened
 	}
+	if aged, ok := item.message.(message.Aged); ok {
+		item.message = aged.WithAge(clock.Of(time.Since(item.at)))
+	}
 	frame := message.Encode(item.message)
 	if len(frame) > message.MaximumPayload {
 		// The peer would close the connection for it, and others would lose what is under way there.
 		l.transport.undelivered(l.key.to, item.message, false)
-		return false
+		return 0
 	}
 	_, _ = writer.Write(frame)
 	counters := &l.transport.Counters
@@ -173,7 +231,7 @@
 	if l.key.control {
 		counters.SentControlBytes.Add(uint64(len(frame)))
 	}
-	return true
+	return len(frame)
 }
 
 func (l *line) lost() {
--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -36,6 +36,46 @@
 	})
 }
 
+// TestSoundConnectionIsKept: a connection whose frames are acknowledged carries all of them, also after a rest and when many come at once.
+func TestSoundConnectionIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewNetwork(300)
+		sender, receiver := on(t, network, "a:1"), on(t, network, "b:1")
+		heard := newEvents()
+		receiver.Serve(heard)
+		sender.Serve(newEvents())
+		for round := range 20 {
+			for range 3 * (1 + round%4) {
+				sender.Send("b:1", &message.StoreDigest{Revision: 1})
+				<-heard.messages
+			}
+			time.Sleep(time.Duration(round) * time.Second)
+		}
+		if dialled, silent := network.Dialled(), sender.Counters.SilentConnections.Load(); dialled != 1 || silent != 0 {
+			t.Errorf("%d connections, %d given up as silent", dialled, silent)
+		}
+		sender.Close()
+		receiver.Close()
+	})
+}
+
+// TestAgeGrowsWhileWaiting: what a message says of an age is true when it is sent, also where it waited for a connection.
+func TestAgeGrowsWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewNetwork(200)
+		sender, receiver := on(t, network, "a:1"), on(t, network, "b:1")
+		heard := newEvents()
+		receiver.Serve(heard)
+		sender.Serve(newEvents())
+		sender.Send("b:1", &message.StoreDigest{Revision: 1, Confirmation: message.Confirmation{Confirmed: true, AgeMs: 50}})
+		if got := receive(t, "the digest", heard.messages).(*message.StoreDigest); got.AgeMs != 450 {
+			t.Errorf("an age of 50 ms is %d ms after 400 ms of dialling", got.AgeMs)
+		}
+		sender.Close()
+		receiver.Close()
+	})
+}
+
 func on(t *testing.T, network Network, address string) *Transport {
 	t.Helper()
 	opened, err := ListenOn(network, address, address, ControlSizes)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,7 +1,7 @@
 // Package transport carries frames between nodes over TCP.
 //
 // Each node keeps up to two connections to a peer, one for control and one for queries, so that a large answer does not
-// delay a probe. A connection carries messages one way. Frames are never sent a second time by the transport; what
+// delay a probe. A connection carries messages one way; the other way goes a byte for each frame that was read. Frames are never sent a second time by the transport; what
 // was not delivered is reported with whether the peer may have got it.
 package transport
 
@@ -20,15 +20,25 @@
 
 // Limits and times of connections.
 const (
-	dialTimeout     = time.Second
-	helloTimeout    = 5 * time.Second
-	payloadTimeout  = 10 * time.Second
-	writeTimeout    = 5 * time.Second
-	idleTimeout     = 30 * time.Second
-	redialWait      = 250 * time.Millisecond
+	dialTimeout    = time.Second
+	helloTimeout   = 5 * time.Second
+	payloadTimeout = 10 * time.Second
+	writeTimeout   = 5 * time.Second
+	idleTimeout    = 30 * time.Second
+	redialWait     = 250 * time.Millisecond
+	// controlSilence and querySilence are how long a frame may stay unacknowledged before its connection counts as silent. Control goes on every
+	// second, and a way there and back takes some tens of milliseconds; a peer that stands still for a while must not lose its queries for it.
+	controlSilence  = time.Second
+	querySilence    = 5 * time.Second
 	maximumIncoming = 16384
 )
 
+// slowestLink is what a connection carries at least, in bytes a second; a large frame has that much longer until it is acknowledged.
+const slowestLink = 256 << 10
+
+// acknowledgement of a frame. What it says is of no matter.
+var acknowledgement = []byte{1}
+
 // Sizes of what a transport holds per connection.
 type Sizes struct {
 	// Queue is the number of messages that may wait for a peer.
@@ -67,6 +77,8 @@
 	Message(from string, m message.Message)
 	// Undelivered is a message that was not delivered; written is true where the peer may have got it.
 	Undelivered(to string, m message.Message, written bool)
+	// Silent is a connection that was given up because the peer acknowledged nothing on it.
+	Silent(peer string)
 	// Disconnected is the loss of a connection on which queries were sent.
 	Disconnected(peer string)
 	// Malformed is a connection that was closed for breaking the protocol.
@@ -82,6 +94,8 @@
 	ReceivedBytes     atomic.Uint64
 	UndeliveredFrames atomic.Uint64
 	MalformedInput    atomic.Uint64
+	// SilentConnections were given up because nothing was acknowledged on them.
+	SilentConnections atomic.Uint64
 }
 
 type lineKey struct {
@@ -193,6 +207,10 @@
 			t.malformed(connection, err)
 			return
 		}
+		_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := connection.Write(acknowledgement); err != nil {
+			return
+		}
 		t.handler.Message(hello.Address, m)
 	}
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -32,6 +32,9 @@
 // Undelivered implements Handler.
 func (e *events) Undelivered(_ string, _ message.Message, written bool) { e.undelivered <- written }
 
+// Silent implements Handler.
+func (e *events) Silent(string) {}
+
 // Disconnected implements Handler.
 func (e *events) Disconnected(peer string) { e.lost <- peer }
 
