--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -15,13 +15,15 @@
 	Unavailable Trouble = iota + 1
 	// Throttled: too many calls.
 	Throttled
+	// Silent: a watch was ended that had told nothing for too long.
+	Silent
 	// HistoryLost: the store no longer knows the changes since the revision asked for.
 	HistoryLost
 )
 
 // String names the trouble in logs.
 func (t Trouble) String() string {
-	return [...]string{"none", "unavailable", "throttled", "history_lost"}[t]
+	return [...]string{"none", "unavailable", "throttled", "silent", "history_lost"}[t]
 }
 
 // Settings of the reading.
@@ -37,9 +39,11 @@
 	// FirstBackoff and LongestBackoff bound the pause after trouble.
 	FirstBackoff   time.Duration
 	LongestBackoff time.Duration
-	// FirstTimeout and LongestTimeout bound the wait for the answer to a listing.
+	// FirstTimeout and LongestTimeout bound the wait for the answer to a listing, and to a watch beyond the time that it waits for changes.
 	FirstTimeout   time.Duration
 	LongestTimeout time.Duration
+	// LookTimeout is the first one for a look.
+	LookTimeout time.Duration
 }
 
 // Kind of a Call.
@@ -63,7 +67,7 @@
 	After    string
 	Revision uint64
 	For      time.Duration
-	// Timeout of a listing.
+	// Timeout of a listing, and of a watch beyond For.
 	Timeout time.Duration
 }
 
@@ -73,6 +77,9 @@
 // shortestWatch is worth a call.
 const shortestWatch = 200 * time.Millisecond
 
+// lookFor is how long a look waits for changes: not at all, as near as a store's watch comes to that.
+const lookFor = time.Millisecond
+
 // Core holds the state of the reading.
 type Core struct {
 	settings Settings
@@ -89,6 +96,8 @@
 	listedAt uint64
 	pause    time.Duration
 	gather   bool
+	// turnNext: the pause ends at this node's turn, at which it tells others what the store says.
+	turnNext bool
 	backoff  time.Duration
 	failures int
 	// historyLost: the store has forgotten its history since a watch last ended well. Another listing at once would meet the same.
@@ -123,20 +132,34 @@
 	return c.troubledAt < 0 || now-c.troubledAt >= c.settings.SettleFor
 }
 
+// Hearing is what a node hears of the store beside its own calls.
+type Hearing struct {
+	// Stale: nobody has confirmed for long that the node knows all changes. The store is asked for those that there are, without a wait for more.
+	Stale bool
+	// Alone: no other node has told anything of late. The node's watches end by themselves before its copy turns stale.
+	Alone bool
+}
+
 // Next returns what to do now. Of the clock only the phase within a period counts.
-func (c *Core) Next(clock time.Duration) Call {
+func (c *Core) Next(clock time.Duration, hearing Hearing) Call {
 	if c.pause > 0 {
 		call := Call{Kind: Pause, For: c.pause}
 		if c.gather {
 			call.Kind = Gather
+			call.For, c.turnNext = c.untilTurn(clock, c.pause)
 		}
 		c.pause, c.gather = 0, false
 		return call
 	}
 	if !c.listed || c.listing {
-		return Call{Kind: List, After: c.after, Timeout: c.listTimeout()}
+		return Call{Kind: List, After: c.after, Timeout: c.timeout(c.settings.FirstTimeout)}
 	}
-	return Call{Kind: Watch, Revision: c.revision, For: c.watchFor(clock)}
+	turn := c.turnNext
+	c.turnNext = false
+	if hearing.Stale || turn {
+		return Call{Kind: Watch, Revision: c.revision, For: lookFor, Timeout: c.timeout(c.settings.LookTimeout)}
+	}
+	return Call{Kind: Watch, Revision: c.revision, For: c.watchFor(clock, hearing), Timeout: c.timeout(c.settings.FirstTimeout)}
 }
 
 // Page takes in a page of a listing: its last key, the store's revision, and whether there is more. It reports whether the
@@ -176,10 +199,10 @@
 	}
 }
 
-// listTimeout is short at first, so that a call that a store in trouble will never answer is soon made again, and longer with
+// timeout is short at first, so that a call that a store in trouble will never answer is soon made again, and longer with
 // each failure, so that a slow store gets its time.
-func (c *Core) listTimeout() time.Duration {
-	timeout := c.settings.FirstTimeout
+func (c *Core) timeout(first time.Duration) time.Duration {
+	timeout := first
 	for range c.failures {
 		timeout = min(2*timeout, c.settings.LongestTimeout)
 	}
@@ -192,9 +215,21 @@
 	c.period, c.phase = period, phase
 }
 
-// watchFor is the time until this node's next turn, by a clock that nodes share well enough for that.
-func (c *Core) watchFor(clock time.Duration) time.Duration {
+// untilTurn has a pause end at this node's turn, and reports whether it does, where that comes before a watch after the pause would be worth a
+// call. Others go by what is told at each turn.
+func (c *Core) untilTurn(clock, pause time.Duration) (until time.Duration, turn bool) {
 	if c.period == 0 {
+		return pause, false
+	}
+	if wait := c.period - (clock-c.phase)%c.period; wait < pause+shortestWatch {
+		return wait, true
+	}
+	return pause, false
+}
+
+// watchFor is the time until this node's next turn, by a clock that nodes share well enough for that.
+func (c *Core) watchFor(clock time.Duration, hearing Hearing) time.Duration {
+	if c.period == 0 || hearing.Alone {
 		return c.settings.WatchFor
 	}
 	wait := c.period - (clock-c.phase)%c.period
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,10 +62,8 @@
 	Follow  follow.Settings
 	Spread  spread.Settings
 	Places  replica.Places
-	// WatchPerNode times the nodes known is how long a watch waits, within the bounds of Follow.WatchFor and LongestWatch: the
-	// more nodes there are, the sooner one of them learns what the watches of others have missed, and tells.
-	WatchPerNode time.Duration
-	LongestWatch time.Duration
+	// Waits for news of the store.
+	Waits Waits
 	// MostConnections bounds what of a back end's connections one node may use, however few nodes are known.
 	MostConnections int
 	// RetrySlack is what all nodes together may send extra in a window beyond the share.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"stiletrail/internal/clock"
@@ -206,22 +205,16 @@
 	return together*togetherPart >= len(members)
 }
 
-// takeTurns has the nodes look at the store one after the other: with each some time after the one before it, a change that the
+// takeTurns has the watchers of the group look at the store one after the other: with each some time after the one before it, a change that the
 // watches of all have missed is found soon, and told.
 func (g *Gateway) takeTurns() {
-	if g.nodes < 2 || !g.settings.Load().StoreTurns {
+	tellEvery := g.settings.Load().Waits.TellEvery
+	if !g.duty.watches || g.duty.watchers < 2 || !g.settings.Load().StoreTurns || !g.settings.Load().PeerCopies {
+		g.follower.TakeTurns(0, 0)
 		return
 	}
-	if g.duty.shared && g.duty.watches {
-		period := clock.Ms(g.duty.watchers) * tellEvery
-		g.follower.TakeTurns(period.Duration(), (clock.Ms(g.duty.turn) * tellEvery).Duration())
-		return
-	}
-	members := g.members.Members()
-	rank := slices.IndexFunc(members, func(m membership.Member) bool { return m.Address == g.members.Self().Address })
-	settings := g.settings.Load()
-	period := min(max(time.Duration(g.nodes)*settings.WatchPerNode, settings.Follow.WatchFor), settings.LongestWatch)
-	g.follower.TakeTurns(period, time.Duration(rank)*period/time.Duration(g.nodes))
+	period := clock.Ms(g.duty.watchers) * tellEvery
+	g.follower.TakeTurns(period.Duration(), (clock.Ms(g.duty.turn) * tellEvery).Duration())
 }
 
 // retrySlack is this node's part of the extra attempts allowed beyond the share; half is left for nodes that are not known. It grows over the
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
 	"stiletrail/internal/replica"
@@ -18,28 +19,28 @@
 	// doubtIntervals of renewal are waited for an entry to come back that vanished while the store was unsettled.
 	doubtIntervals = 1.6
 	// retryMargin of the retry budget is not used, for what cannot be counted, such as a restart of a node.
-	retryMargin      = 0.04
-	hedgeReserve     = 0.06
-	watchFor         = 2500 * time.Millisecond
-	gatherFor        = 900 * time.Millisecond
-	settleFor        = 5 * time.Second
-	firstBackoff     = 100 * time.Millisecond
-	longestBackoff   = time.Second
-	firstTimeout     = 700 * time.Millisecond
-	longestTimeout   = 4 * time.Second
-	digestInterval   = time.Second
-	digestFanout     = 3
-	peerPatience     = time.Second
-	peerAnswerWithin = 1500 * time.Millisecond
-	keepGone         = time.Minute
-	watchPerNode     = 800 * time.Millisecond
-	longestWatch     = 15 * time.Second
+	retryMargin  = 0.04
+	hedgeReserve = 0.06
+	// watchPart of the time after which a copy is stale is the longest wait of a watch whose end nobody else makes up for, watchFor the longest
+	// of all.
+	watchPart      = 0.9
+	watchFor       = 2500 * clock.Ms(1)
+	gatherFor      = 900 * time.Millisecond
+	settleFor      = 5 * time.Second
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = time.Second
+	firstTimeout   = 700 * time.Millisecond
+	longestTimeout = 4 * time.Second
+	digestInterval = time.Second
+	digestFanout   = 3
+	keepGone       = time.Minute
 	// mostConnections of one node to a back end are more than it can use.
 	mostConnections = 8
 )
 
 // FromSettings gives the gateway's settings for those of the operator.
 func FromSettings(s settings.Gateway) Settings {
+	waits := WaitsWithin(clock.Of(min(s.LeavingTime, s.ApplyWithin)))
 	return Settings{
 		Forward: forward.Settings{
 			HedgeShare: s.HedgeShare, SiblingHedges: s.SiblingHedges, LastExtras: s.LastExtras, EarlyFinish: s.EarlyFinish, Pace: s.RetryPace, AnswerMargin: answerMargin, ComeBack: s.EntryInterval / 2,
@@ -49,11 +50,13 @@
 			DoubtFor: doubtFor(s), SubsetSize: s.SubsetSize, FewRest: s.FewRest, Ejection: s.Ejection, Prove: s.ProveConnections, WithdrawnFactor: s.WithdrawnFactor,
 		},
 		Follow: follow.Settings{
-			WatchFor: watchFor, GatherFor: gatherFor, SettleFor: settleFor, FirstBackoff: firstBackoff, LongestBackoff: longestBackoff,
-			FirstTimeout: firstTimeout, LongestTimeout: longestTimeout,
+			WatchFor: min(watchFor, clock.Ms(watchPart*float64(waits.StaleAfter))).Duration(), GatherFor: gatherFor, SettleFor: settleFor, FirstBackoff: firstBackoff, LongestBackoff: longestBackoff,
+			FirstTimeout: firstTimeout, LongestTimeout: longestTimeout, LookTimeout: waits.LookTimeout.Duration(),
 		},
-		Spread:       spread.Settings{Interval: digestInterval, Fanout: digestFanout, Patience: peerPatience, AnswerWithin: peerAnswerWithin, KeepGone: keepGone},
-		WatchPerNode: watchPerNode, LongestWatch: longestWatch, MostConnections: mostConnections, RetrySlack: s.RetrySlack,
+		Spread: spread.Settings{
+			Interval: digestInterval, Fanout: digestFanout, Patience: waits.Patience.Duration(), AnswerWithin: waits.AnswerWithin.Duration(), KeepGone: keepGone,
+		},
+		Waits: waits, MostConnections: mostConnections, RetrySlack: s.RetrySlack,
 		Places:     replica.Places{Node: s.Node, Zone: s.Zone, Regions: s.Regions},
 		RetryShare: s.RetryShare * (1 - retryMargin), RetryWindow: s.RetryWindow, HedgeReserve: hedgeReserve,
 		ShareConnections: s.ShareConnections, YoungPart: s.YoungPart, StoreTurns: s.StoreTurns, PeerCopies: s.PeerCopies,
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -49,7 +49,6 @@
 
 // Bounds of a call to the store.
 const (
-	watchSlack = 1500 * time.Millisecond
 	// expireInterval is how often vanished entries and idle connections are looked through.
 	expireInterval = time.Second
 	// massShare of the back ends vanishing within one call is taken for trouble of the store, not for back ends leaving.
@@ -71,7 +70,7 @@
 			continue
 		}
 		g.mutex.Lock()
-		call := g.follower.Next(time.Duration(time.Now().UnixNano()))
+		call := g.follower.Next(time.Duration(time.Now().UnixNano()), g.hearing(g.now()))
 		g.mutex.Unlock()
 		switch call.Kind {
 		case follow.Pause:
@@ -160,9 +159,14 @@
 }
 
 func (g *Gateway) watch(ctx context.Context, call follow.Call) {
-	bounded, cancel := context.WithTimeout(ctx, call.For+watchSlack)
+	bounded, cancel := context.WithTimeout(ctx, call.For+call.Timeout)
 	defer cancel()
+	stop := g.endWhenStale(cancel)
 	records, at, err := g.store.Watch(bounded, call.Revision, call.For)
+	if ended := stop(); ended && err != nil && ctx.Err() == nil {
+		g.watchWasSilent(err)
+		return
+	}
 	if err != nil {
 		g.failed(ctx, err)
 		return
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -10,21 +10,19 @@
 )
 
 const (
-	// tellEvery is how often one of the watchers of a region hears from the store at the latest, and tells the others.
-	tellEvery = 900 * clock.Ms(1)
-	// staleAfter is how long a node that does not watch goes without such news before it watches itself.
-	staleAfter = 2 * clock.Second
-	// standbyLook is the pause between its looks at that.
+	// standbyLook is the pause between the looks of a node that stands by at whether others still tell it.
 	standbyLook = 100 * clock.Ms(1)
+	// smallFleet is the most nodes that watch and tell each other all together. In a larger one a region does: what goes between regions is dear.
+	smallFleet = 12
 )
 
-// duty is this node's part in watching the store for its region.
+// duty is this node's part in watching the store for a group of nodes, which tell each other: those of its region, or all of a small fleet.
 type duty struct {
-	// shared: only some nodes of the region watch. Without it every node does.
+	// shared: only some nodes of the group watch. Without it every node does.
 	shared bool
 	// watches: this node is one of them, and tells the others.
 	watches bool
-	// charges are the nodes that it sends changes to; others are only told that there are some, and ask if no other watcher sends them.
+	// charges are the nodes that it sends changes to; others are only told that there are some, and ask if nobody sends them.
 	charges []string
 	others  []string
 	// turn among the watchers, and how many there are.
@@ -34,23 +32,30 @@
 // assignDuty decides anew who watches, by the members known; the lock is held.
 func (g *Gateway) assignDuty() {
 	self := g.members.Self()
-	var region []string
+	var fleet, region []string
 	for _, m := range g.members.Members() {
-		if m.Region == self.Region && m.Usable() {
+		if !m.Usable() {
+			continue
+		}
+		fleet = append(fleet, m.Address)
+		if m.Region == self.Region {
 			region = append(region, m.Address)
 		}
 	}
-	watchers := spread.Watchers(region, g.settings.Load().Watchers)
-	g.duty = duty{shared: g.nodes > 0 && len(watchers) < len(region), turn: slices.Index(watchers, self.Address), watchers: len(watchers)}
+	group, watchers := region, spread.Watchers(region, g.settings.Load().Watchers)
+	if len(fleet) <= smallFleet && len(watchers) == len(region) {
+		group, watchers = fleet, spread.Watchers(fleet, 0)
+	}
+	g.duty = duty{shared: g.nodes > 0 && len(watchers) < len(group), turn: slices.Index(watchers, self.Address), watchers: len(watchers)}
 	g.duty.watches = g.duty.turn >= 0
-	if !g.duty.shared || !g.duty.watches {
+	if !g.duty.watches {
 		return
 	}
-	slices.Sort(region)
-	for i, address := range region {
+	slices.Sort(group)
+	for i, address := range group {
 		switch {
-		case slices.Contains(watchers, address):
-		case i%len(watchers) == g.duty.turn:
+		case address == self.Address:
+		case !slices.Contains(watchers, address) && i%len(watchers) == g.duty.turn:
 			g.duty.charges = append(g.duty.charges, address)
 		default:
 			g.duty.others = append(g.duty.others, address)
@@ -68,14 +73,15 @@
 
 // told reports whether others watch for this node and have told it of the store lately; the lock is held.
 func (g *Gateway) told(now time.Duration) bool {
-	return g.duty.shared && !g.duty.watches && g.view.Fresh(now, staleAfter)
+	return g.duty.shared && !g.duty.watches && g.fresh(now)
 }
 
-// confirmed takes in that the store has told all changes after a revision, and tells those that stand by.
+// confirmed takes in that the store has told all changes after a revision, and tells the group: also the watchers of it, whose own watches may have
+// fallen silent.
 func (g *Gateway) confirmed(now time.Duration, since uint64, records []message.StoreRecord, settled bool) {
 	g.view.Confirm(now)
 	g.noteAge(now)
-	if g.duty.shared && g.duty.watches {
+	if g.duty.watches && g.settings.Load().PeerCopies {
 		g.tell(g.view.Tell(now, g.duty.charges, since, records, settled))
 		g.tell(g.view.Tell(now, g.duty.others, since, nil, settled))
 	}
--- a/internal/spread/confirmation.go
+++ b/internal/spread/confirmation.go
@@ -29,6 +29,11 @@
 	return max(0, clock.Of(now)-c.confirmed.at), c.confirmed.known
 }
 
+// Heard reports whether a peer's copy was complete at some moment within the given time, as that peer has said.
+func (c *Core) Heard(now time.Duration, within clock.Ms) bool {
+	return c.heard && clock.Of(now)-c.heardAt <= within
+}
+
 // claim takes in what a peer says of when the store held nothing beyond a revision. It tells of the own copy once that has the revision,
 // since the own copy then has all that the peer's had.
 func (c *Core) claim(now time.Duration, revision uint64, m message.Confirmation) {
@@ -36,6 +41,9 @@
 		return
 	}
 	at := clock.Of(now) - min(clock.Ms(m.AgeMs), longestAge)
+	if !c.heard || at > c.heardAt {
+		c.heard, c.heardAt = true, at
+	}
 	if !c.claimed.known || at > c.claimed.at {
 		c.claimed = confirmation{known: true, revision: revision, at: at}
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -9,6 +9,7 @@
 	"sort"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/message"
 )
 
@@ -58,6 +59,9 @@
 	// confirmed is when the copy was last known to be complete; claimed is what a peer that knows more says of its own.
 	confirmed confirmation
 	claimed   confirmation
+	// heardAt is the latest moment of which a peer has said that its copy was complete; heard, whether one ever has.
+	heard   bool
+	heardAt clock.Ms
 	// askedUntil: a peer was asked, and no other is before then. Copies are large where there are many back ends.
 	askedUntil time.Duration
 }
