--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -64,6 +64,9 @@
 	if !g.listed.Load() {
 		g.awaitFirstListing(ctx, until)
 	}
+	if ctx.Err() != nil {
+		return Result{Gone: true, Version: g.Version()}
+	}
 	table := g.table.Load()
 	if table == nil {
 		retryAfter := notReadyRetryAfter
@@ -91,6 +94,10 @@
 		}
 	}
 	g.awaitBackEnds(ctx, route, until)
+	if ctx.Err() != nil {
+		// Nobody waits for the answer: no back end shall begin to work on it.
+		return Result{Gone: true, Version: table.Version(), Route: route}
+	}
 	run := newRun(g, call, route, arrived)
 	answer := run.toEnd(ctx)
 	if answer.Reason == forward.NoBackEnd {
--- /dev/null
+++ b/internal/serving/accept_test.go
@@ -0,0 +1,64 @@
+package serving
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"stiletrail/internal/routing"
+	"stiletrail/internal/standin"
+)
+
+// lacking is a listener whose process has no descriptors left for a while.
+type lacking struct {
+	net.Listener
+	failures int
+}
+
+// Accept implements net.Listener.
+func (e *lacking) Accept() (net.Conn, error) {
+	if e.failures > 0 {
+		e.failures--
+		return nil, &net.OpError{Op: "accept", Net: "memory", Err: syscall.EMFILE}
+	}
+	return e.Listener.Accept()
+}
+
+// TestConnectionsAreTakenAgain: callers' connections are taken again once there are descriptors, and none is lost to a change of the limits.
+func TestConnectionsAreTakenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewNetwork(1)
+		l, err := network.Listen("node:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		hello := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("hello")) })
+		c := newCallerListener(&lacking{l, 5}, hello, nil, io.Discard)
+		ended := make(chan error, 1)
+		idle := time.Minute
+		go func() {
+			ended <- c.accept(func() (routing.Limits, bool) {
+				idle += time.Second
+				return routing.Limits{IdleTimeout: idle}, true
+			})
+		}()
+		client := http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, to string) (net.Conn, error) { return network.Dial(ctx, to) }, DisableKeepAlives: true}}
+		for range 20 {
+			response, err := client.Get("http://node:1/")
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+		}
+		_ = l.Close()
+		if err := <-ended; err == nil {
+			t.Error("a listener that is closed does not end the accepting")
+		}
+		c.shutdown(t.Context())
+	})
+}
--- a/internal/serving/callers.go
+++ b/internal/serving/callers.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"stiletrail/internal/failure"
@@ -17,10 +19,10 @@
 // server's limits at any time, so they can't be changed on a running one: when they change, a new server takes the connections
 // from then on, and the old one serves those it has.
 type callerListener struct {
-	listener net.Listener
-	handler  http.Handler
-	onState  func(net.Conn, http.ConnState)
-	errors   *log.Logger
+	listener   net.Listener
+	handler    http.Handler
+	onState    func(net.Conn, http.ConnState)
+	complaints *log.Logger
 
 	mutex   sync.Mutex
 	limits  routing.Limits
@@ -56,8 +58,8 @@
 // Addr implements net.Listener.
 func (h *handedOver) Addr() net.Addr { return h.address }
 
-func newCallerListener(listener net.Listener, handler http.Handler, onState func(net.Conn, http.ConnState), errors io.Writer) *callerListener {
-	c := &callerListener{listener: listener, handler: handler, onState: onState, errors: log.New(errors, "", 0)}
+func newCallerListener(listener net.Listener, handler http.Handler, onState func(net.Conn, http.ConnState), complaints io.Writer) *callerListener {
+	c := &callerListener{listener: listener, handler: handler, onState: onState, complaints: log.New(complaints, "", 0)}
 	c.open()
 	return c
 }
@@ -65,7 +67,7 @@
 // open starts a server with the limits as they are; the lock is held, or nobody else knows the listener yet.
 func (c *callerListener) open() {
 	server := &http.Server{
-		Handler: c.handler, ConnState: c.onState, DisableGeneralOptionsHandler: true, ErrorLog: c.errors,
+		Handler: c.handler, ConnState: c.onState, DisableGeneralOptionsHandler: true, ErrorLog: c.complaints,
 		ReadHeaderTimeout: orDefault(c.limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       orDefault(c.limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:    orDefault(c.limits.HeaderBytes, defaultHeaderBytes),
@@ -96,23 +98,59 @@
 	_ = previous.Close()
 }
 
+// acceptAgain is the first pause after the machine had nothing left for another connection; it doubles up to longestAcceptAgain. A node that is
+// ready must take connections again as soon as it can.
+const (
+	acceptAgain        = 5 * time.Millisecond
+	longestAcceptAgain = 500 * time.Millisecond
+)
+
 // accept hands connections over until the listener is closed.
 func (c *callerListener) accept(limits func() (routing.Limits, bool)) error {
+	wait := acceptAgain
 	for {
 		connection, err := c.listener.Accept()
+		if exhausted(err) {
+			c.complaints.Printf("no connection can be taken: %v; tried again after %v", err, wait)
+			time.Sleep(wait)
+			wait = min(2*wait, longestAcceptAgain)
+			continue
+		}
 		if err != nil {
 			return failure.Wrap(err, failure.Internal, "the listener for callers failed")
 		}
+		wait = acceptAgain
 		if known, ok := limits(); ok {
 			c.use(known)
 		}
+		c.handOver(connection)
+	}
+}
+
+// exhausted reports whether the machine lacks what a connection takes, which passes.
+func exhausted(err error) bool {
+	for _, lacking := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, lacking) {
+			return true
+		}
+	}
+	return false
+}
+
+// handOver gives a connection to the server with the limits in force. After shutdown nobody takes it.
+func (c *callerListener) handOver(connection net.Conn) {
+	for {
 		c.mutex.Lock()
-		current := c.current
+		current, closed := c.current, c.closed
 		c.mutex.Unlock()
 		select {
 		case current.connections <- connection:
+			return
 		case <-current.done:
+		}
+		if closed {
 			_ = connection.Close()
+			return
 		}
 	}
 }
