--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -105,12 +105,16 @@
 	if loaded.PeerAddress == "" {
 		return func() {}, nil, nil
 	}
-	peers, err := transport.ListenWith(loaded.PeerAddress, loaded.PeerAddress, transport.ControlSizes)
+	advertised := loaded.PeerAddress
+	if loaded.PeerAdvertisedAddress != "" {
+		advertised = loaded.PeerAdvertisedAddress
+	}
+	peers, err := transport.ListenWith(loaded.PeerAddress, advertised, transport.ControlSizes)
 	if err != nil {
 		return nil, nil, err
 	}
 	self := membership.Member{
-		Address: loaded.PeerAddress, Zone: loaded.Zone, Region: loaded.Regions[loaded.Zone], Generation: rand.Uint64(),
+		Address: advertised, Zone: loaded.Zone, Region: loaded.Regions[loaded.Zone], Generation: rand.Uint64(),
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	node.Join(self, loaded.Seeds, peers)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,7 +33,9 @@
 	RetrySlack float64
 	// PeerAddress serves other nodes, Seeds are those of some of them; without it the node goes by the store alone.
 	PeerAddress string
-	Seeds       []string
+	// PeerAdvertisedAddress is the one at which other nodes reach it, where that is another; empty for the same.
+	PeerAdvertisedAddress string
+	Seeds                 []string
 	// Connections is the largest number of connections of this node to one back end.
 	Connections int
 	// HedgeShare of a route's target latency is waited before another replica is asked too; 0 turns hedging off.
@@ -113,6 +115,7 @@
 	{"retry_window", "1s to 10m", false, duration(time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.RetryWindow })},
 	{"retry_slack", "0 to 1000000", false, fraction(0, 1000000, func(s *Gateway) *float64 { return &s.RetrySlack })},
 	{"peer_address", addressAllowed, false, address(func(s *Gateway) *string { return &s.PeerAddress })},
+	{"peer_advertised_address", addressAllowed, false, address(func(s *Gateway) *string { return &s.PeerAdvertisedAddress })},
 	{"seeds", "a list of IP addresses and ports", false, func(s *Gateway, value string) bool { return setAddresses(&s.Seeds, value) }},
 	{"connections_per_back_end", "1 to 4096", false, integer(1, 4096, func(s *Gateway) *int { return &s.Connections })},
 	{"hedge_share", "0 to 1", false, share(func(s *Gateway) *float64 { return &s.HedgeShare })},
