--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -52,6 +52,9 @@
 	ConnectTimeout time.Duration
 	// Prove has a new connection wait for a way there and back before it is used: a back end at its limit has closed it by then.
 	Prove bool
+	// Once: the request cannot be sent again if nothing comes back. It goes over a connection that has carried an answer within provenWithin, or
+	// over a new one: a connection that has rested for longer may have fallen silent.
+	Once bool
 	// Prepare builds the message at the moment at which it is written, when the connection is there.
 	Prepare func() (*http.Request, error)
 	// MaximumBody bounds the answer in bytes.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -202,6 +202,31 @@
 	}
 }
 
+// TestRestedConnectionIsNotTrustedOnce: a request that cannot be sent again takes no connection that has rested since long enough to have fallen
+// silent unseen; others do, and so does it where the connection has just carried an answer.
+func TestRestedConnectionIsNotTrustedOnce(t *testing.T) {
+	s := serve(t, func(socket net.Conn, _ int64) bool {
+		respond(socket, "")
+		return true
+	})
+	pool := exchange.NewPool()
+	for _, c := range []struct {
+		once        bool
+		proven      time.Duration
+		connections int64
+	}{{false, 0, 1}, {true, time.Hour, 1}, {false, 0, 1}, {true, 0, 2}} {
+		pool.SetProvenWithin(c.proven)
+		r := request(s.address())
+		r.Once = c.once
+		if result := pool.Do(context.Background(), r); result.Stage != exchange.Answered {
+			t.Fatalf("%+v", result)
+		}
+		if got := s.connections.Load(); got != c.connections {
+			t.Errorf("%+v: %d connections", c, got)
+		}
+	}
+}
+
 // TestRestFor: a connection that has rested as long as the request allowed is not used again.
 func TestRestFor(t *testing.T) {
 	for restFor, connections := range map[time.Duration]int64{time.Nanosecond: 2, time.Hour: 1, 0: 1} {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -24,6 +24,9 @@
 	idleMargin = 500 * time.Millisecond
 	// userTimeout is how long written bytes may stay unacknowledged before a connection is given up.
 	userTimeout = 2 * time.Second
+	// defaultProvenWithin is how long after an answer a connection counts as sound for a request that cannot be sent again. A new connection costs it a way
+	// there and back, 1 to 25 ms; without an answer it is lost.
+	defaultProvenWithin = 250 * time.Millisecond
 	// defaultProofSlack is enough for a back end to notice a connection over its limit and to close it.
 	defaultProofSlack = 2 * time.Millisecond
 )
@@ -52,11 +55,13 @@
 	Connected func(time.Duration)
 	// proofSlack is waited beyond a way there and back where a new connection must prove itself.
 	proofSlack time.Duration
+	// provenWithin is how long after an answer a connection counts as sound for a request that cannot be sent again.
+	provenWithin time.Duration
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*connection{}, proofSlack: defaultProofSlack}
+	return &Pool{idle: map[string][]*connection{}, proofSlack: defaultProofSlack, provenWithin: defaultProvenWithin}
 }
 
 // connect takes an idle connection that is still sound, or opens one.
@@ -66,7 +71,8 @@
 		if kept == nil {
 			return p.open(ctx, request)
 		}
-		if kept.sound(time.Now()) {
+		now := time.Now()
+		if kept.sound(now) && !(request.Once && now.Sub(kept.idleSince) > p.provenWithin) {
 			return kept, nil
 		}
 		kept.close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,8 @@
 	Deadline time.Time
 	// Prove has a new connection prove first that the back end takes it.
 	Prove bool
+	// Once: the request cannot be sent again if its connection carries no answer.
+	Once bool
 	// Rest says which connections to the back end may rest for later requests.
 	Rest replica.Rest
 }
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -169,6 +169,21 @@
 		"return c.confirmed.known && at-c.confirmed.at < c.settings.LapseAfter && at-c.returnedAt >= c.settings.ReturnWithin", "return at >= 0",
 		"./internal/gateway", "TestLapsedEntries",
 	},
+	{
+		"a request that cannot be sent again goes over a connection that may have fallen silent", "internal/exchange/pool.go",
+		"kept.sound(now) && !(request.Once && now.Sub(kept.idleSince) > p.provenWithin)", "kept.sound(now)",
+		"./internal/exchange", "TestRestedConnectionIsNotTrustedOnce",
+	},
+	{
+		"a request is sent whose caller has left", "internal/gateway/serve.go",
+		"		// Nobody waits for the answer: no back end shall begin to work on it.\n		return Result{Gone: true, Version: table.Version(), Route: route}\n", "",
+		"./internal/gateway", "TestCallerThatLeftIsNotServed",
+	},
+	{
+		"a node without descriptors ends", "internal/serving/callers.go",
+		"if exhausted(err) {", "if false {",
+		"./internal/serving", "TestConnectionsAreTakenAgain",
+	},
 	{
 		"a request does not wait for back ends to come back", "internal/gateway/serve.go",
 		"	g.awaitBackEnds(ctx, route, until)\n", "",
