--- a/internal/transport/line.go
+++ b/internal/transport/line.go
@@ -94,7 +94,8 @@
 	idle, overdue := time.NewTimer(idleTimeout), time.NewTimer(idleTimeout)
 	defer idle.Stop()
 	defer overdue.Stop()
-	unacknowledged := 0
+	// unacknowledged frames, and the bytes written since there were none.
+	unacknowledged, unacknowledgedBytes := 0, 0
 	next := &first
 	for {
 		if next != nil {
@@ -103,8 +104,9 @@
 				l.lost()
 				return
 			}
-			if unacknowledged == 0 || size > slowestLink {
-				overdue.Reset(l.key.acknowledgedWithin(size))
+			unacknowledgedBytes += size
+			if unacknowledged == 0 || size > largeFrame {
+				overdue.Reset(l.key.acknowledgedWithin(unacknowledgedBytes))
 			}
 			unacknowledged += frames
 			idle.Reset(idleTimeout)
@@ -118,8 +120,10 @@
 				l.lost()
 				return
 			}
-			unacknowledged -= count
-			overdue.Reset(l.key.acknowledgedWithin(0))
+			if unacknowledged -= count; unacknowledged == 0 {
+				unacknowledgedBytes = 0
+			}
+			overdue.Reset(l.key.acknowledgedWithin(unacknowledgedBytes))
 		case <-overdue.C:
 			if unacknowledged > 0 {
 				l.silent(connection)
@@ -153,7 +157,7 @@
 	l.lost()
 }
 
-// watch returns how many more frames the the peer has acknowledged; the channel closes when the peer closes the connection.
+// watch returns how many more frames the peer has acknowledged; the channel closes when the peer closes the connection.
 func (l *line) watch(connection net.Conn, over <-chan struct{}) <-chan int {
 	acknowledged := make(chan int)
 	l.transport.tasks.Go(func() {
@@ -202,8 +206,8 @@
 	return len(batch), size, true
 }
 
-// encode writes one frame into the buffer and returns its size, 0 for one that is not sent. A sub-query whose time ran out while it was queued, as in a process that was
-// frozen, is not written any more.
+// encode writes one frame into the buffer and returns its size, 0 for one that is not sent. A sub-query whose time ran out while it was queued, as
+// in a process that was frozen, is not written any more.
 func (l *line) encode(writer *bufio.Writer, item queued) int {
 	if sub, ok := item.message.(*message.SubQuery); ok {
 		waited := uint64(time.Since(item.at).Microseconds())
--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -59,6 +59,30 @@
 	})
 }
 
+// TestLargeFrameHasItsTime: a frame that a slow link takes seconds for does not count as silence, also with others acknowledged meanwhile.
+func TestLargeFrameHasItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewNetwork(12).WithRate(300 << 10)
+		sender, receiver := on(t, network, "a:1"), on(t, network, "b:1")
+		heard := newEvents()
+		receiver.Serve(heard)
+		sender.Serve(newEvents())
+		large := &message.StoreRecords{Records: []message.StoreRecord{{Key: "k", Revision: 1, Value: make([]byte, 1<<20)}}}
+		for _, m := range []message.Message{&message.StoreDigest{Revision: 1}, large, &message.StoreDigest{Revision: 2}} {
+			sender.Send("b:1", m)
+			time.Sleep(5 * time.Millisecond)
+		}
+		for range 3 {
+			receive(t, "all three", heard.messages)
+		}
+		if silent := sender.Counters.SilentConnections.Load(); silent != 0 {
+			t.Errorf("%d connections were given up as silent", silent)
+		}
+		sender.Close()
+		receiver.Close()
+	})
+}
+
 // TestAgeGrowsWhileWaiting: what a message says of an age is true when it is sent, also where it waited for a connection.
 func TestAgeGrowsWhileWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -33,8 +33,12 @@
 	maximumIncoming = 16384
 )
 
-// slowestLink is what a connection carries at least, in bytes a second; a large frame has that much longer until it is acknowledged.
-const slowestLink = 256 << 10
+// slowestLink is what a connection carries at least, in bytes a second, a tenth of what the smallest machines have. largeFrame is one of that many
+// bytes, which has longer until it is acknowledged for that.
+const (
+	slowestLink = 256 << 10
+	largeFrame  = 64 << 10
+)
 
 // acknowledgement of a frame. What it says is of no matter.
 var acknowledgement = []byte{1}
