Lines tell a back end that ended from a connection that was reset, and which request it had

Cause: a request line did not say what the request was, so one that came several times could not be recognized, and an attempt whose connection broke was 'lost' whether or not its back end lived on. Change: a mark of caller, method, host, target and body; a line and a counter for attempts whose back end ended; another connection is asked for after a broken one to tell an end from a reset. What is sent to whom is unchanged.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -37,6 +37,10 @@
 	fieldCopyAge  = "copy_age_ms"
 	fieldNode     = "node"
 	fieldPeer     = "peer"
+	// fieldMark is the same for requests that ask the same for the same caller, fieldRan how long an attempt was at a back end, in milliseconds.
+	fieldMark   = "mark"
+	fieldCaller = "caller"
+	fieldRan    = "ran_ms"
 	// What a request was turned away by, in hundredths: shards lacking of those that may lack, attempts shed, and the share turned away.
 	fieldLacking = "lacking_percent"
 	fieldShed    = "shed_percent"
@@ -50,6 +54,7 @@
 	EventReload         = "reload"
 	EventRequest        = "request"
 	EventEjected        = "back_end_ejected"
+	EventBackEndEnded   = "back_end_ended"
 	EventConfiguration  = "configuration_in_force"
 	EventRejected       = "item_rejected"
 	EventBackEnd        = "back_end"
@@ -104,6 +109,7 @@
 	fields := logrus.Fields{
 		fieldEvent: EventRequest, fieldRequest: call.ID, fieldVersion: result.Version, fieldElapsed: result.Elapsed.Milliseconds(),
 		fieldReason: string(result.Reason), fieldOutcome: result.Outcome(), fieldCopyAge: result.CopyAge,
+		fieldMark: call.Mark.String(), fieldCaller: call.Caller,
 	}
 	if result.Route != nil {
 		fields[fieldRoute] = result.Route.Name
@@ -168,6 +174,17 @@
 	}).Info(EventEjected)
 }
 
+// BackEndEnded implements gateway.Journal. Lines of one mark are those of one request that came several times.
+func (l *Log) BackEndEnded(call *gateway.Call, attempt *forward.Attempt, ran clock.Ms) {
+	if !l.rate.allow(time.Now()) {
+		return
+	}
+	l.log.WithFields(logrus.Fields{
+		fieldEvent: EventBackEndEnded, fieldRequest: call.ID, fieldMark: call.Mark.String(), fieldCaller: call.Caller, fieldBackEnd: attempt.Replica.ID,
+		fieldService: attempt.Service, fieldRan: ran,
+	}).Warn(EventBackEndEnded)
+}
+
 // Configuration implements gateway.Journal.
 func (l *Log) Configuration(table *routing.Table, revision uint64) {
 	l.log.WithFields(logrus.Fields{
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -100,6 +100,21 @@
 	return newConnection(socket, func() { p.Open.Add(-1) }), nil
 }
 
+// Ended reports whether nobody serves at an address any more, as after the end of a process, whether its connections are refused or closed at once by
+// what stands in front of it. It takes one or two ways there and back, and costs a connection where somebody does. Full says that a back end which is
+// at its limit of connections, and closes new ones, counts as serving.
+func (p *Pool) Ended(ctx context.Context, address string, timeout time.Duration, full bool) bool {
+	started := time.Now()
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
+	socket, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.Opened.Add(1)
+	defer func() { _ = socket.Close() }()
+	return !full && !quiet(socket, time.Since(started)+p.proofSlack)
+}
+
 // setUserTimeout has a connection to a peer that fell silent fail instead of hanging.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(descriptor uintptr) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -37,6 +37,9 @@
 	Elapsed  int64    `json:"elapsed_ms"`
 	Age      int64    `json:"age_ms"`
 	Items    int      `json:"items"`
+	Mark     string   `json:"mark"`
+	Caller   string   `json:"caller"`
+	Ran      int64    `json:"ran_ms"`
 }
 
 // Report is what the logs tell of a request, in the order in which it happened.
@@ -140,7 +143,7 @@
 		return known.Event
 	case decisionlog.EventConfiguration:
 		return "configuration"
-	case decisionlog.EventBackEnd, decisionlog.EventVanished, decisionlog.EventEjected:
+	case decisionlog.EventBackEnd, decisionlog.EventVanished, decisionlog.EventEjected, decisionlog.EventBackEndEnded:
 		for _, attempt := range request.Attempts {
 			// What is believed of a back end that answered explains nothing.
 			if known.BackEnd != "" && strings.Contains(attempt, " "+known.BackEnd+" ") && !strings.HasSuffix(attempt, " answered") {
@@ -166,12 +169,17 @@
 	add("reason", known.Reason, known.Reason != "")
 	add("items", known.Items, known.Items > 0)
 	add("age_ms", known.Age, known.Age != 0)
+	add("mark", known.Mark, known.Mark != "")
+	add("ran_ms", known.Ran, known.Ran != 0)
 	return strings.Join(parts, " ")
 }
 
 // decisions lists what was decided about the request, its attempts in the order of their start.
 func decisions(request *line) []string {
 	head := fmt.Sprintf("request   %s %s route=%s version=%d", request.Time, request.Node, request.Route, request.Version)
+	if request.Mark != "" {
+		head += fmt.Sprintf(" mark=%s caller=%s", request.Mark, request.Caller)
+	}
 	lines := []string{head}
 	for _, attempt := range request.Attempts {
 		lines = append(lines, "attempt   "+attempt)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -91,6 +91,8 @@
 	Response *Response
 	// TurnedAway: the back end ended a connection that had carried no answer yet, as it does with those over its limit.
 	TurnedAway bool
+	// BackEndEnded: the back end itself ended, and not just the connection: it takes no connections any more.
+	BackEndEnded bool
 	// Detail says what happened, for logs.
 	Detail string
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -187,6 +187,7 @@
 
 func (silentJournal) Request(*gateway.Call, *gateway.Result)                    {}
 func (silentJournal) Ejected(*forward.Attempt, forward.Outcome)                 {}
+func (silentJournal) BackEndEnded(*gateway.Call, *forward.Attempt, clock.Ms)    {}
 func (silentJournal) Configuration(*routing.Table, uint64)                      {}
 func (silentJournal) Rejected(*gateway.Item)                                    {}
 func (silentJournal) BackEnd(replica.Entry, uint64)                             {}
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -15,6 +15,8 @@
 type Journal interface {
 	Request(call *Call, result *Result)
 	Ejected(attempt *forward.Attempt, outcome forward.Outcome)
+	// BackEndEnded: a back end ended while it had an attempt of a call, so long after that was sent.
+	BackEndEnded(call *Call, attempt *forward.Attempt, ran clock.Ms)
 	Configuration(table *routing.Table, revision uint64)
 	Rejected(item *Item)
 	BackEnd(entry replica.Entry, revision uint64)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -237,7 +237,7 @@
 		outcome := r.gateway.exchange(ctx, send)
 		cancelled := ctx.Err() != nil
 		cancel()
-		r.gateway.attemptEnded(attempt, outcome, cancelled)
+		r.gateway.attemptEnded(r.call, attempt, outcome, cancelled)
 		select {
 		case r.outcomes <- ended{attempt, outcome}:
 		case <-r.over:
@@ -267,11 +267,14 @@
 	time.AfterFunc(r.gateway.settings.Load().Linger, cancel)
 }
 
-func (g *Gateway) attemptEnded(attempt *forward.Attempt, outcome forward.Outcome, cancelled bool) {
+func (g *Gateway) attemptEnded(call *Call, attempt *forward.Attempt, outcome forward.Outcome, cancelled bool) {
 	g.mutex.Lock()
 	now := g.now()
 	ejected := attempt.Replica.Finish(now, attempt.StartedAt, verdict(outcome, cancelled))
 	g.mutex.Unlock()
+	if outcome.BackEndEnded {
+		g.journal.BackEndEnded(call, attempt, clock.Of(now-attempt.StartedAt))
+	}
 	if ejected {
 		g.journal.Ejected(attempt, outcome)
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
 	"stiletrail/internal/transport"
@@ -93,6 +94,12 @@
 	m.Journal.Ejected(attempt, outcome)
 }
 
+// BackEndEnded implements gateway.Journal.
+func (m *Metrics) BackEndEnded(call *gateway.Call, attempt *forward.Attempt, ran clock.Ms) {
+	m.set.GetOrCreateCounter("stiletrail_attempts_whose_back_end_ended_total").Inc()
+	m.Journal.BackEndEnded(call, attempt, ran)
+}
+
 // Rejected implements gateway.Journal.
 func (m *Metrics) Rejected(item *gateway.Item) {
 	m.set.GetOrCreateCounter("stiletrail_items_rejected_total").Inc()
