--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -27,6 +27,8 @@
 	silenced map[string]bool
 	// silentUntil: nothing that anybody sends arrives before then.
 	silentUntil time.Time
+	// apart, where set, reports whether nothing goes from one address to another.
+	apart func(from, to string) bool
 }
 
 func newNetwork() *network {
@@ -53,6 +55,19 @@
 	n.silentUntil = time.Now().Add(length)
 }
 
+func (n *network) reaches(from, to string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.apart == nil || !n.apart(from, to)
+}
+
+// separate has nothing go between addresses for which apart holds; nil heals that.
+func (n *network) separate(apart func(from, to string) bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.apart = apart
+}
+
 // attach has a gateway receive what is sent to an address from now on.
 func (n *network) attach(address string, g *gateway.Gateway) {
 	n.mutex.Lock()
@@ -76,7 +91,7 @@
 func (e end) Send(to string, m message.Message) {
 	go func() {
 		time.Sleep(e.network.delay)
-		if receiver := e.network.at(to); receiver != nil && e.network.heard(e.address) {
+		if receiver := e.network.at(to); receiver != nil && e.network.heard(e.address) && e.network.reaches(e.address, to) {
 			receiver.Message(e.address, m)
 		}
 	}()
@@ -90,8 +105,9 @@
 	network  *network
 	backEnds *fakeBackEnds
 	contexts []context.CancelFunc
-	// zoneOf a node, nil for all in "zone".
-	zoneOf func(number int) string
+	// zoneOf a node, nil for all in "zone". regions of the zones, nil for "zone" and "other".
+	zoneOf  func(number int) string
+	regions map[string]string
 }
 
 // cutStore is the store as one node reaches it.
@@ -134,6 +150,9 @@
 	}
 	loaded.RetrySlack = 60
 	loaded.Regions = map[string]string{"zone": "a", "other": "b"}
+	if c.regions != nil {
+		loaded.Regions = c.regions
+	}
 	g := gateway.New(seeded(loaded, uint64(number)+7), c.backEnds, c.paths[number], silentJournal{})
 	self := membership.Member{Address: address(number), Zone: loaded.Zone, Region: loaded.Regions[loaded.Zone], Generation: uint64(number) + 1, Incarnation: uint64(time.Now().UnixMilli())}
 	g.Join(self, []string{address(0), address(1)}, end{c.network, address(number)})
