--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -13,6 +13,7 @@
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
+	"stiletrail/internal/quarantine"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
 )
@@ -55,6 +56,9 @@
 	EventRequest        = "request"
 	EventEjected        = "back_end_ejected"
 	EventBackEndEnded   = "back_end_ended"
+	EventJudged         = "request_judged"
+	EventRetrial        = "request_retrial"
+	EventQuarantineLost = "quarantine_not_written"
 	EventConfiguration  = "configuration_in_force"
 	EventRejected       = "item_rejected"
 	EventBackEnd        = "back_end"
@@ -185,6 +189,23 @@
 	}).Warn(EventBackEndEnded)
 }
 
+// Judged implements gateway.Journal.
+func (l *Log) Judged(mark quarantine.Mark, verdict quarantine.Verdict, by string, left clock.Ms) {
+	l.log.WithFields(logrus.Fields{
+		fieldEvent: EventJudged, fieldMark: mark.String(), fieldOutcome: verdict.String(), fieldReason: by, "left_ms": left,
+	}).Warn(EventJudged)
+}
+
+// Retrial implements gateway.Journal.
+func (l *Log) Retrial(mark quarantine.Mark, version string) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventRetrial, fieldMark: mark.String(), "software": version}).Info(EventRetrial)
+}
+
+// QuarantineLost implements gateway.Journal.
+func (l *Log) QuarantineLost(mark quarantine.Mark, cause *failure.Failure) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventQuarantineLost, fieldMark: mark.String(), fieldReason: cause.Error()}).Warn(EventQuarantineLost)
+}
+
 // Configuration implements gateway.Journal.
 func (l *Log) Configuration(table *routing.Table, revision uint64) {
 	l.log.WithFields(logrus.Fields{
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -32,6 +32,8 @@
 	CoverageTooLow Code = "COVERAGE_TOO_LOW"
 	// SnapshotUnavailable: the minimum version asked for is not held yet.
 	SnapshotUnavailable Code = "SNAPSHOT_UNAVAILABLE"
+	// Quarantined: the request ends the back ends that run it, and is sent to none for some time.
+	Quarantined Code = "QUARANTINED"
 	// DeadlineExceeded: the deadline passed.
 	DeadlineExceeded Code = "DEADLINE_EXCEEDED"
 	// OutcomeUnknown: the request may or may not have taken effect.
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -44,6 +44,8 @@
 	GivenUp       Reason = "given_up"
 	// TurnedAway: the node gets more requests than back ends can answer in time.
 	TurnedAway Reason = "turned_away"
+	// Quarantined: the request ends the back ends that run it.
+	Quarantined Reason = "quarantined"
 )
 
 // decide answers the request as soon as it can be answered.
@@ -141,6 +143,13 @@
 		r.finish(r.timedOut())
 		return
 	}
+	if r.caution.quarantined {
+		r.finish(Answer{
+			Reason: Quarantined, Total: len(r.shards), Missing: len(r.shards) - r.answered,
+			Failure: failure.New(failure.Quarantined, "back ends ended while they ran the request"),
+		})
+		return
+	}
 	if r.mayHaveRun || r.anyLive() {
 		r.finish(Answer{Reason: ShardsFailed, Total: len(r.shards), Missing: len(r.shards) - r.answered, Failure: r.outcomeFailure()})
 		return
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -27,6 +27,10 @@
 // tryFirst sends a shard's request to the best replica, or waits for one to have room.
 func (r *Request) tryFirst(now time.Duration, number int) {
 	s := &r.shards[number]
+	if r.world.LeftOut(s.service) {
+		s.failed, s.denied = true, DeniedQuarantined
+		return
+	}
 	chosen, busy := r.world.Pick(s.service, r.choice(s))
 	s.waiting = chosen == nil && busy
 	switch {
@@ -51,7 +55,7 @@
 // choice of replicas for the next attempt at a shard: none that was tried since the last pause, and none that was not asked yet
 // where as many were asked as the route allows.
 func (r *Request) choice(s *shard) replica.Choice {
-	choice := replica.Choice{Excluded: s.tried}
+	choice := replica.Choice{Excluded: s.tried, Versions: r.versions}
 	if distinct(s.asked) >= r.route.MaximumAttempts {
 		choice.Only = s.asked
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"stiletrail/internal/admit"
 	"stiletrail/internal/failure"
+	"stiletrail/internal/quarantine"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
 )
@@ -26,6 +27,14 @@
 	ExtrasLeft(service string) float64
 	// SpendRetry takes an extra attempt after a failure out of the service's budget.
 	SpendRetry(service string) bool
+	// Ended takes in that a back end ended under an attempt, and gives the verdict on the request.
+	Ended(attempt *Attempt) quarantine.Verdict
+	// Verdict on the request as it is known by now.
+	Verdict() quarantine.Verdict
+	// Ran takes in that a back end answered an attempt.
+	Ran(attempt *Attempt)
+	// LeftOut reports whether the request is to be kept from a service, whose back ends it ends.
+	LeftOut(service string) bool
 	// Met takes in what a request over many shards has met by its target, once.
 	Met(seen admit.Seen)
 }
@@ -144,6 +153,8 @@
 	DeniedNoReplica Denied = "no_other_replica"
 	// DeniedTooLate: no answer could come by the deadline any more.
 	DeniedTooLate Denied = "too_late"
+	// DeniedQuarantined: the request ends the back ends that run it, here or at this shard.
+	DeniedQuarantined Denied = "quarantined"
 )
 
 // Denied returns why the last extra attempt that was due for an attempt's shard was not sent, empty if none was.
@@ -166,6 +177,8 @@
 	Arrived time.Duration
 	// Deadline is when the caller stops waiting, zero if it did not say.
 	Deadline time.Duration
+	// Versions of software that may get the request, if any are named.
+	Versions []string
 }
 
 type shard struct {
@@ -188,6 +201,8 @@
 	waiting     bool
 	wait        time.Duration
 	lookAgainAt time.Duration
+	// held: the shard's attempt is lost or withdrawn, and it is tried again once another shard has answered, or as the next trial.
+	held bool
 	// paused: all attempts have failed, and the shard is tried again at lookAgainAt, after a pause of pause.
 	paused bool
 	pause  time.Duration
@@ -209,8 +224,12 @@
 	mayHaveRun bool
 	anySent    bool
 	retryAfter time.Duration
-	actions    []Action
-	done       bool
+	// caution about a request under which back ends have ended.
+	caution caution
+	// versions of software that may get the request, if any are named.
+	versions []string
+	actions  []Action
+	done     bool
 	// told: the node knows what the request has met by its target.
 	told bool
 }
@@ -229,6 +248,7 @@
 	if parameters.Deadline > 0 {
 		r.deadline = min(r.deadline, parameters.Deadline-settings.AnswerMargin)
 	}
+	r.versions = parameters.Versions
 	services := route.Shards
 	if !route.FansOut() {
 		services = []string{parameters.Service}
@@ -236,7 +256,14 @@
 	r.shards = make([]shard, len(services))
 	for i, service := range services {
 		r.shards[i].service = service
-		r.tryFirst(now, i)
+	}
+	if r.caution.suspect = world.Verdict() != quarantine.Clear; r.caution.suspect {
+		r.holdAll()
+		r.try(now)
+	} else {
+		for i := range r.shards {
+			r.tryFirst(now, i)
+		}
 	}
 	r.refuseTooFew()
 	r.decide(now)
@@ -299,11 +326,17 @@
 		s.response = outcome.Response
 		r.answered++
 		r.cancelShard(attempt.Shard)
+		r.world.Ran(attempt)
+		r.release(now)
 		r.noteAnswer(now, attempt)
+	case outcome.BackEndEnded:
+		s.last = outcome
+		r.backEndEnded(now, attempt)
 	default:
 		s.last = outcome
 		r.tryAgain(now, attempt.Shard)
 	}
+	r.try(now)
 	r.decide(now)
 	return r.take()
 }
@@ -320,6 +353,9 @@
 	}
 	for i := range r.shards {
 		s := &r.shards[i]
+		if s.held {
+			continue
+		}
 		if s.waiting && now >= s.lookAgainAt {
 			r.tryFirst(now, i)
 		} else if s.paused && now >= s.lookAgainAt {
@@ -328,6 +364,7 @@
 			r.hedge(now, i)
 		}
 	}
+	r.try(now)
 	r.decide(now)
 	return r.take()
 }
@@ -351,8 +388,14 @@
 	if r.untouched() {
 		wake = min(wake, max(now, r.offerUntil()))
 	}
+	if at, due := r.nextTrial(); due {
+		wake = min(wake, at)
+	}
 	for i := range r.shards {
 		s := &r.shards[i]
+		if s.held {
+			continue
+		}
 		if s.waiting || s.paused {
 			wake = min(wake, s.lookAgainAt)
 		} else if r.mayHedge(s) {
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -43,6 +43,10 @@
 // retry asks another replica at once, and reports whether there was one and the budget allowed it.
 func (r *Request) retry(now time.Duration, number int) bool {
 	s := &r.shards[number]
+	if r.world.LeftOut(s.service) {
+		s.denied = DeniedQuarantined
+		return false
+	}
 	if len(s.tried) > unsentTries || (r.settings.Pace == 0 && s.sent >= r.route.MaximumAttempts) {
 		return false
 	}
@@ -85,7 +89,7 @@
 	s.tried = nil
 	recovery, known := r.world.Recovers(s.service, r.choice(s))
 	s.lookAgainAt = max(now+s.pause, recovery)
-	s.paused = r.settings.Pace > 0 && known && s.lookAgainAt < r.deadline && !r.ownFailure(s)
+	s.paused = r.settings.Pace > 0 && known && s.lookAgainAt < r.deadline && !r.ownFailure(s) && !r.world.LeftOut(s.service)
 	s.failed = !s.paused
 }
 
--- a/internal/forward/scene_test.go
+++ b/internal/forward/scene_test.go
@@ -7,6 +7,7 @@
 
 	"stiletrail/internal/admit"
 	"stiletrail/internal/forward"
+	"stiletrail/internal/quarantine"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
 )
@@ -24,6 +25,10 @@
 	met []admit.Seen
 	// few: the budget allows hardly any more extra attempts.
 	few bool
+	// verdict on the request, leftOut are the services that it is kept from, ends the back ends that ended under it.
+	verdict quarantine.Verdict
+	leftOut map[string]bool
+	ends    []string
 }
 
 func newWorld(budget int, services ...string) *fakeWorld {
@@ -73,6 +78,21 @@
 // SpendRetry implements forward.World.
 func (w *fakeWorld) SpendRetry(string) bool { return w.spend() }
 
+// Ended implements forward.World.
+func (w *fakeWorld) Ended(attempt *forward.Attempt) quarantine.Verdict {
+	w.ends = append(w.ends, attempt.Replica.ID)
+	return w.verdict
+}
+
+// Verdict implements forward.World.
+func (w *fakeWorld) Verdict() quarantine.Verdict { return w.verdict }
+
+// Ran implements forward.World.
+func (w *fakeWorld) Ran(*forward.Attempt) { w.verdict = quarantine.Clear }
+
+// LeftOut implements forward.World.
+func (w *fakeWorld) LeftOut(service string) bool { return w.leftOut[service] }
+
 // Met implements forward.World.
 func (w *fakeWorld) Met(seen admit.Seen) { w.met = append(w.met, seen) }
 
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -28,6 +28,8 @@
 	Nodes int
 	// BackEnds counts back ends by state.
 	BackEnds map[string]int
+	// Quarantined is the number of requests that are sent to nobody, since they end the back ends that run them.
+	Quarantined int
 }
 
 // Belief returns what the gateway believes now.
@@ -37,6 +39,7 @@
 	now := g.now()
 	belief := Belief{
 		StoreRevision: g.view.Revision(), StoreContactAge: g.follower.ContactAge(now), CopyAge: g.copyAge(now), Nodes: g.nodes, BackEnds: map[string]int{},
+		Quarantined: g.quarantine.Count(clock.Of(now)),
 	}
 	g.replicas.All(func(known *replica.Replica) { belief.BackEnds[stateOf(now, known)]++ })
 	return belief
--- a/internal/gateway/crashing_test.go
+++ b/internal/gateway/crashing_test.go
@@ -317,7 +317,9 @@
 // checkServed checks the share of the sound searches that were served.
 func checkServed(t *testing.T, counted *tally, least float64) {
 	t.Helper()
-	if share := float64(counted.served) / float64(counted.asked); share < least {
+	share := float64(counted.served) / float64(counted.asked)
+	t.Logf("%.4f of %d sound searches were served", share, counted.asked)
+	if share < least {
 		t.Errorf("%.3f of %d sound searches were served, others ended with %v", share, counted.asked, counted.failed)
 	}
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -17,6 +17,7 @@
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
 	"stiletrail/internal/message"
+	"stiletrail/internal/quarantine"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
 	"stiletrail/internal/settings"
@@ -58,18 +59,12 @@
 func (s *fakeStore) put(item gateway.Item) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.revision++
-	record := message.StoreRecord{Key: item.Key, Revision: s.revision, Gone: item.Gone}
-	if item.Gone {
-		delete(s.items, item.Key)
-	} else {
-		record.Value = []byte(fmt.Sprint("value ", s.revision))
+	record := message.StoreRecord{Key: item.Key, Gone: item.Gone}
+	if !item.Gone {
+		record.Value = []byte(fmt.Sprint("value ", s.revision+1))
 		s.meanings[string(record.Value)] = item
-		s.items[item.Key] = record
 	}
-	s.history = append(s.history, record)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.note(record)
 }
 
 // Decode implements gateway.Store.
@@ -97,6 +92,54 @@
 	change(s)
 }
 
+// Write implements gateway.Store. What was written goes by itself when its time is over.
+func (s *fakeStore) Write(_ context.Context, w gateway.Write) (bool, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.err != nil {
+		return false, s.err
+	}
+	if _, there := s.items[w.Key]; there && w.First {
+		return false, nil
+	}
+	s.note(message.StoreRecord{Key: w.Key, Value: w.Value})
+	lease := s.revision
+	time.AfterFunc(w.For.Duration(), func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if s.items[w.Key].Revision == lease {
+			s.note(message.StoreRecord{Key: w.Key, Gone: true})
+		}
+	})
+	return true, nil
+}
+
+// Remove implements gateway.Store.
+func (s *fakeStore) Remove(_ context.Context, key string) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.err == nil {
+		s.note(message.StoreRecord{Key: key, Gone: true})
+	}
+	return s.err
+}
+
+// note makes a change; the lock is held.
+func (s *fakeStore) note(record message.StoreRecord) {
+	s.revision++
+	record.Revision = s.revision
+	if record.Gone {
+		delete(s.items, record.Key)
+	} else {
+		s.items[record.Key] = record
+	}
+	s.history = append(s.history, record)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // List implements gateway.Store.
 func (s *fakeStore) List(context.Context, string) (gateway.Page, error) {
 	s.mutex.Lock()
@@ -185,9 +228,13 @@
 // silentJournal takes no note.
 type silentJournal struct{}
 
-func (silentJournal) Request(*gateway.Call, *gateway.Result)                    {}
-func (silentJournal) Ejected(*forward.Attempt, forward.Outcome)                 {}
-func (silentJournal) BackEndEnded(*gateway.Call, *forward.Attempt, clock.Ms)    {}
+func (silentJournal) Request(*gateway.Call, *gateway.Result)                 {}
+func (silentJournal) Ejected(*forward.Attempt, forward.Outcome)              {}
+func (silentJournal) BackEndEnded(*gateway.Call, *forward.Attempt, clock.Ms) {}
+func (silentJournal) Judged(quarantine.Mark, quarantine.Verdict, string, clock.Ms) {
+}
+func (silentJournal) Retrial(quarantine.Mark, string)                           {}
+func (silentJournal) QuarantineLost(quarantine.Mark, *failure.Failure)          {}
 func (silentJournal) Configuration(*routing.Table, uint64)                      {}
 func (silentJournal) Rejected(*gateway.Item)                                    {}
 func (silentJournal) BackEnd(replica.Entry, uint64)                             {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,8 @@
 	StartingHold time.Duration
 	// TurnAway refuses a part of the requests at once, as not run, while back ends cannot answer all of them by the target.
 	TurnAway bool
+	// Quarantine of requests that end back ends.
+	Quarantine quarantine.Settings
 	// MaximumRequests bounds the requests under way.
 	MaximumRequests int
 	// Seed of random choices.
@@ -131,6 +133,11 @@
 	// gate turns requests away while there are more than back ends can answer in time.
 	gate     admit.Gate
 	follower *follow.Core
+	// quarantine knows the requests that have ended back ends; trials are those that are sent to one back end at a time now, by how many calls.
+	quarantine *quarantine.Core
+	trials     map[quarantine.Mark]int
+	// keeping is what is to be written to the store of them.
+	keeping keeping
 	// members are the nodes known, peers carries messages to them; nil on a node without peers.
 	members *membership.Core
 	peers   PeerTransport
@@ -157,6 +164,7 @@
 		replicas:     replica.NewSet(settings.Replica, settings.Places, random),
 		budgets:      map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
 		follower: follow.New(settings.Follow, random.Float64), listedKeys: map[string]bool{},
+		quarantine: quarantine.New(settings.Quarantine), trials: map[quarantine.Mark]int{}, keeping: newKeeping(random),
 	}
 	g.settings.Store(&settings)
 	g.view = spread.New(settings.Spread, g.somePeers)
@@ -169,6 +177,7 @@
 	defer g.mutex.Unlock()
 	g.settings.Store(&settings)
 	g.replicas.Reconfigure(settings.Replica, settings.Places)
+	g.quarantine.Reconfigure(settings.Quarantine)
 	for _, budget := range g.budgets {
 		budget.SetShare(settings.RetryShare)
 	}
@@ -220,6 +229,7 @@
 type world struct {
 	gateway *Gateway
 	now     time.Duration
+	call    *Call
 }
 
 // Pick implements forward.World.
--- /dev/null
+++ b/internal/gateway/keeping.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"stiletrail/internal/clock"
+	"stiletrail/internal/failure"
+	"stiletrail/internal/quarantine"
+)
+
+// How quarantines get into the store, which nodes that start read.
+const (
+	keepLook = 200 * time.Millisecond
+	// keepWithin is how long a call may take, keepAgain the pause after one that failed; it is drawn from half to one and a half of it.
+	keepWithin = 700 * time.Millisecond
+	keepAgain  = 1500 * clock.Ms(1)
+	// heardAfter is how long a node waits at least that has heard of a quarantine from another, for that one to write it; heardSpread more, drawn, for each
+	// node known, so that few write where that one is gone. heardLongest bounds it.
+	heardAfter   = 2 * clock.Second
+	heardSpread  = 50 * clock.Ms(1)
+	heardLongest = 60 * clock.Second
+	// shortestKept is the shortest time for which something is written.
+	shortestKept = 2 * clock.Second
+	// mostRetrials that a node remembers to have asked for; older ones are asked for again, which the store answers.
+	mostRetrials = 1024
+)
+
+// keeping is what is to be written of quarantines, and what bounds the messages about them.
+type keeping struct {
+	random *rand.Rand
+	// dues are when a request's quarantine is written next, at the latest; removals are requests whose quarantine was lifted.
+	dues     map[quarantine.Mark]clock.Ms
+	rewrites map[quarantine.Mark]bool
+	removals map[quarantine.Mark]bool
+	// retrials that this node has asked the store for.
+	retrials map[string]bool
+	// told messages in the second that began at second.
+	second clock.Ms
+	told   int
+	// accountAt is when the next full account is due.
+	accountAt clock.Ms
+}
+
+func newKeeping(random *rand.Rand) keeping {
+	return keeping{
+		random: random, dues: map[quarantine.Mark]clock.Ms{}, rewrites: map[quarantine.Mark]bool{}, removals: map[quarantine.Mark]bool{},
+		retrials: map[string]bool{},
+	}
+}
+
+// due has a request's quarantine written at a moment.
+func (k *keeping) due(mark quarantine.Mark, at clock.Ms) { k.dues[mark] = at }
+
+// again has what the store says of a request written anew, or taken away where its quarantine is lifted.
+func (k *keeping) again(mark quarantine.Mark, lifted bool) {
+	if lifted {
+		k.removals[mark] = true
+		return
+	}
+	k.rewrites[mark] = true
+}
+
+// mayTell reports whether another message may begin in this second, and counts it.
+func (k *keeping) mayTell(now clock.Ms) bool {
+	if now-k.second >= clock.Second {
+		k.second, k.told = now, 0
+	}
+	k.told++
+	return k.told <= evidenceRate
+}
+
+// accountDue reports whether another full account is due, and sets the next one.
+func (k *keeping) accountDue(now clock.Ms) bool {
+	if now < k.accountAt {
+		return false
+	}
+	k.accountAt = now + evidenceEvery
+	return true
+}
+
+// next gives the writes that are due, and forgets those that are not needed any more.
+func (k *keeping) next(now clock.Ms, unstored map[quarantine.Mark]clock.Ms, nodes int) (marks []quarantine.Mark) {
+	for mark := range k.dues {
+		if _, needed := unstored[mark]; !needed {
+			delete(k.dues, mark)
+		}
+	}
+	for mark, left := range unstored {
+		at, known := k.dues[mark]
+		switch {
+		case left < shortestKept:
+		case !known:
+			spread := min(heardSpread*clock.Ms(max(nodes, 1)), heardLongest)
+			k.dues[mark] = now + heardAfter + clock.Ms(k.random.Int64N(int64(spread)))
+		case now >= at:
+			k.dues[mark] = now + keepAgain/2 + clock.Ms(k.random.Int64N(int64(keepAgain)))
+			marks = append(marks, mark)
+		}
+	}
+	return marks
+}
+
+// keepQuarantines writes quarantines to the store until the context ends, so that nodes that start know them.
+func (g *Gateway) keepQuarantines(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, keepLook)
+		for _, w := range g.dueWrites() {
+			g.keep(ctx, w)
+		}
+		for _, mark := range g.dueRemovals() {
+			g.lift(ctx, mark)
+		}
+	}
+}
+
+// markedWrite is a write about a request.
+type markedWrite struct {
+	mark quarantine.Mark
+	Write
+}
+
+func (g *Gateway) dueWrites() (writes []markedWrite) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := clock.Of(g.now())
+	unstored := g.quarantine.Unstored(now)
+	add := func(mark quarantine.Mark, first bool) {
+		length := g.quarantine.Left(now, mark)
+		writes = append(writes, markedWrite{mark, Write{Key: quarantine.KeyOf(mark), Value: g.quarantine.Encode(mark), For: length, First: first}})
+	}
+	for _, mark := range g.keeping.next(now, unstored, g.nodes) {
+		add(mark, true)
+	}
+	for mark := range g.keeping.rewrites {
+		add(mark, false)
+	}
+	clear(g.keeping.rewrites)
+	return writes
+}
+
+func (g *Gateway) dueRemovals() (marks []quarantine.Mark) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for mark := range g.keeping.removals {
+		marks = append(marks, mark)
+	}
+	clear(g.keeping.removals)
+	return marks
+}
+
+func (g *Gateway) keep(ctx context.Context, w markedWrite) {
+	bounded, cancel := context.WithTimeout(ctx, keepWithin)
+	defer cancel()
+	_, err := g.store.Write(bounded, w.Write)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.journal.QuarantineLost(w.mark, failure.From(err))
+	if !w.First {
+		g.keeping.rewrites[w.mark] = true
+	}
+}
+
+func (g *Gateway) lift(ctx context.Context, mark quarantine.Mark) {
+	bounded, cancel := context.WithTimeout(ctx, keepWithin)
+	defer cancel()
+	err := g.store.Remove(bounded, quarantine.KeyOf(mark))
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.journal.QuarantineLost(mark, failure.From(err))
+	g.keeping.removals[mark] = true
+}
+
+// claimRetrial asks the store to let this node be the one that sends a request under quarantine to a new version of the software. Without the store nobody
+// does: several nodes that tried would end a back end each.
+func (g *Gateway) claimRetrial(ctx context.Context, mark quarantine.Mark, version string) bool {
+	key := quarantine.RetrialKey(mark, version)
+	g.mutex.Lock()
+	asked := g.keeping.retrials[key]
+	if len(g.keeping.retrials) >= mostRetrials {
+		clear(g.keeping.retrials)
+	}
+	g.keeping.retrials[key] = true
+	length := g.settings.Load().Quarantine.For
+	g.mutex.Unlock()
+	if asked {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, keepWithin)
+	defer cancel()
+	won, err := g.store.Write(bounded, Write{Key: key, Value: []byte("{}"), For: length, First: true})
+	if err != nil {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		g.journal.QuarantineLost(mark, failure.From(err))
+		// The call may have been done: only a refusal that says that nothing was done lets this node ask again.
+		return false
+	}
+	if won {
+		g.journal.Retrial(mark, version)
+	}
+	return won
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -83,6 +83,7 @@
 		g.tellMembers(g.members.Tick(now))
 		g.tell(g.view.Tick(now, g.served(now), g.told(now)))
 		g.noteAge(now)
+		g.compareEvidence(now)
 		if g.young(now) != young {
 			young = !young
 			g.shareOut()
@@ -105,17 +106,23 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.now()
-	switch m.(type) {
+	switch m := m.(type) {
 	case *message.Probe, *message.ProbeAck, *message.ProbeRequest, *message.MemberSync:
 		sends, _ := g.members.Receive(now, from, m)
 		g.tellMembers(sends)
 	case *message.StoreDigest, *message.StoreRequest, *message.StoreRecords:
 		g.receiveSpread(now, from, m)
+	case *message.Evidence:
+		g.receiveEvidence(now, m)
 	}
 }
 
 // receiveSpread takes in what a peer knows of the store.
 func (g *Gateway) receiveSpread(now time.Duration, from string, m message.Message) {
+	if request, asked := m.(*message.StoreRequest); asked && request.Revision == 0 {
+		// A node that has just started: it must not serve before it knows what to send to nobody.
+		g.tellEvidenceTo(now, from)
+	}
 	age := g.copyAge(now)
 	received := g.view.Receive(now, from, m, g.served(now))
 	doubt := g.doubtUntilAt(now, age, countGone(received.Records)+len(received.Gone))
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -126,6 +126,22 @@
 	return s.fakeStore.List(ctx, after)
 }
 
+// Write implements gateway.Store.
+func (s *cutStore) Write(ctx context.Context, w gateway.Write) (bool, error) {
+	if s.cut.Load() {
+		return false, errDown
+	}
+	return s.fakeStore.Write(ctx, w)
+}
+
+// Remove implements gateway.Store.
+func (s *cutStore) Remove(ctx context.Context, key string) error {
+	if s.cut.Load() {
+		return errDown
+	}
+	return s.fakeStore.Remove(ctx, key)
+}
+
 // Watch implements gateway.Store.
 func (s *cutStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]message.StoreRecord, uint64, error) {
 	if s.cut.Load() {
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,232 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"stiletrail/internal/clock"
+	"stiletrail/internal/failure"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/membership"
+	"stiletrail/internal/message"
+	"stiletrail/internal/quarantine"
+	"stiletrail/internal/routing"
+)
+
+// How what is known of requests that end back ends goes to other nodes. An end costs a message to each of evidenceFanout nodes, which pass it on once:
+// with three near ones and one anywhere it reaches all nodes in as many steps as the logarithm of their number. In a small fleet all are told at once.
+const (
+	evidenceNear   = 3
+	evidenceFanout = evidenceNear + 1
+	// evidenceEvery is the pause between full accounts to a random node, for what single messages have missed. Nothing is sent where there is nothing to tell.
+	evidenceEvery = clock.Second
+	// evidenceRate bounds the messages that a node begins, a second: back ends that end by themselves take many requests with them.
+	evidenceRate = 50
+)
+
+// Who a verdict is by.
+const (
+	byOwn   = "own"
+	byPeer  = "peer"
+	byStore = "store"
+)
+
+const (
+	// trialLook is the pause between looks at whether another call's trial of the same request is over.
+	trialLook = 5 * time.Millisecond
+	// trialComeBack is when a caller may come back whose request waited for a trial in vain.
+	trialComeBack = 200 * time.Millisecond
+)
+
+// clear decides whether a request may be sent, as far as it has ended back ends: it is refused at once under quarantine, and waits for another call's trial.
+// It returns the versions of software that may get it, if only some may.
+func (g *Gateway) clear(ctx context.Context, call *Call, route *routing.Route, until time.Duration) ([]string, *failure.Failure) {
+	for {
+		g.mutex.Lock()
+		now := clock.Of(g.now())
+		verdict, trying, sound := g.quarantine.Verdict(now, call.Mark), g.trials[call.Mark] > 0, g.quarantine.Sound(call.Mark)
+		left := g.quarantine.Left(now, call.Mark)
+		untried, found := "", false
+		if verdict == quarantine.Quarantined {
+			untried, found = g.quarantine.Untried(call.Mark, g.versionsFor(route))
+		}
+		g.mutex.Unlock()
+		switch {
+		case verdict == quarantine.Clear:
+			return nil, nil
+		case verdict == quarantine.Quarantined && len(sound) > 0:
+			return sound, nil
+		case found && g.claimRetrial(ctx, call.Mark, untried):
+			return []string{untried}, nil
+		case verdict == quarantine.Quarantined:
+			return nil, failure.Refused(failure.Quarantined, "back ends end when they run the request", left.Duration())
+		case !trying:
+			return nil, nil
+		case g.now() >= until || ctx.Err() != nil:
+			return nil, failure.Refused(failure.Quarantined, "back ends ended when they ran the request, and it is being tried", trialComeBack)
+		}
+		pause(ctx, trialLook)
+	}
+}
+
+// versionsFor are the versions of software of the back ends that a route goes to; the lock is held.
+func (g *Gateway) versionsFor(route *routing.Route) (versions []string) {
+	add := func(service string) {
+		for _, version := range g.replicas.Versions(service) {
+			if !slices.Contains(versions, version) {
+				versions = append(versions, version)
+			}
+		}
+	}
+	for _, service := range route.Shards {
+		add(service)
+	}
+	for _, target := range route.Targets {
+		add(target.Service)
+	}
+	return versions
+}
+
+// beginTrial notes that a request is sent to one back end at a time; the lock is held.
+func (r *run) beginTrial(now time.Duration) {
+	g := r.gateway
+	if !r.trial && g.quarantine.Verdict(clock.Of(now), r.call.Mark) != quarantine.Clear {
+		r.trial = true
+		g.trials[r.call.Mark]++
+	}
+}
+
+// endTrial has others of the same request go on.
+func (r *run) endTrial() {
+	if !r.trial {
+		return
+	}
+	g := r.gateway
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.trials[r.call.Mark]--; g.trials[r.call.Mark] == 0 {
+		delete(g.trials, r.call.Mark)
+	}
+}
+
+// Ended implements forward.World.
+func (w world) Ended(attempt *forward.Attempt) quarantine.Verdict {
+	g, now, mark := w.gateway, clock.Of(w.now), w.call.Mark
+	if mark == (quarantine.Mark{}) {
+		return quarantine.Clear
+	}
+	tell, convicted := g.quarantine.Ended(now, mark, quarantine.Run{
+		Service: attempt.Service, BackEnd: attempt.Replica.ID, Version: attempt.Replica.Version,
+		Began: clock.Of(attempt.StartedAt), Ended: clock.Of(attempt.EndedAt),
+	})
+	if convicted {
+		g.judged(now, mark, byOwn)
+	}
+	if tell {
+		g.tellEvidence(now, mark)
+	}
+	return g.quarantine.Verdict(now, mark)
+}
+
+// Verdict implements forward.World.
+func (w world) Verdict() quarantine.Verdict {
+	return w.gateway.quarantine.Verdict(clock.Of(w.now), w.call.Mark)
+}
+
+// LeftOut implements forward.World.
+func (w world) LeftOut(service string) bool {
+	return w.gateway.quarantine.LeftOut(clock.Of(w.now), w.call.Mark, service)
+}
+
+// Ran implements forward.World.
+func (w world) Ran(attempt *forward.Attempt) {
+	g, now, mark := w.gateway, clock.Of(w.now), w.call.Mark
+	before := g.quarantine.Verdict(now, mark)
+	if !g.quarantine.Answered(now, mark, attempt.Service, attempt.Replica.Version) {
+		return
+	}
+	if before == quarantine.Quarantined {
+		g.judged(now, mark, byOwn)
+		g.keeping.again(mark, g.quarantine.Verdict(now, mark) == quarantine.Clear)
+	}
+	g.tellEvidence(now, mark)
+}
+
+// judged notes what has become of a request, and has the store told of a quarantine; the lock is held.
+func (g *Gateway) judged(now clock.Ms, mark quarantine.Mark, by string) {
+	g.journal.Judged(mark, g.quarantine.Verdict(now, mark), by, g.quarantine.Left(now, mark))
+	if by == byOwn {
+		g.keeping.due(mark, now)
+	}
+}
+
+// tellEvidence tells other nodes what is known of requests; the lock is held.
+func (g *Gateway) tellEvidence(now clock.Ms, marks ...quarantine.Mark) {
+	if g.members == nil || len(marks) == 0 || !g.keeping.mayTell(now) {
+		return
+	}
+	m := g.quarantine.Tell(now, marks...)
+	for _, peer := range g.evidencePeers() {
+		g.peers.Send(peer, m)
+	}
+}
+
+// evidencePeers are those that are told of an end: all nodes of a small fleet, some of a large one.
+func (g *Gateway) evidencePeers() []string {
+	usable := membership.Member.Usable
+	if g.members.AliveCount() <= smallFleet {
+		return g.members.Pick(smallFleet, usable)
+	}
+	near := func(m membership.Member) bool { return m.Usable() && m.Region == g.members.Self().Region }
+	picked := g.members.Pick(evidenceNear, near)
+	return append(picked, g.members.Pick(evidenceFanout-len(picked), usable)...)
+}
+
+// tellEvidenceTo tells a node all that is known of requests that ended back ends; the lock is held.
+func (g *Gateway) tellEvidenceTo(now time.Duration, peer string) {
+	if m := g.quarantine.TellAll(clock.Of(now)); m != nil {
+		g.peers.Send(peer, m)
+	}
+}
+
+// compareEvidence tells a random node all that is known, each so often, where there is anything; the lock is held.
+func (g *Gateway) compareEvidence(now time.Duration) {
+	if !g.keeping.accountDue(clock.Of(now)) {
+		return
+	}
+	g.quarantine.Forget(clock.Of(now))
+	for _, peer := range g.members.Pick(1, membership.Member.Usable) {
+		g.tellEvidenceTo(now, peer)
+	}
+}
+
+// receiveEvidence takes in what another node knows of requests, and passes on what is news; the lock is held.
+func (g *Gateway) receiveEvidence(at time.Duration, m *message.Evidence) {
+	now := clock.Of(at)
+	news := g.quarantine.Receive(now, m)
+	for _, mark := range append(news.Convicted, news.Released...) {
+		g.judged(now, mark, byPeer)
+	}
+	g.tellEvidence(now, news.Tell...)
+}
+
+// takeQuarantine takes in what the store says of a request; the lock is held.
+func (g *Gateway) takeQuarantine(at time.Duration, mark quarantine.Mark, record message.StoreRecord) {
+	now := clock.Of(at)
+	convicted, err := g.quarantine.Store(now, mark, record.Value)
+	if err != nil {
+		g.journal.Rejected(&Item{Key: record.Key, Revision: record.Revision, Err: err})
+		return
+	}
+	if convicted {
+		g.judged(now, mark, byStore)
+	}
+}
+
+// dropQuarantine takes in that the store says nothing of a request any more; the lock is held.
+func (g *Gateway) dropQuarantine(at time.Duration, mark quarantine.Mark) {
+	if now := clock.Of(at); g.quarantine.Unstore(now, mark) {
+		g.judged(now, mark, byStore)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -93,12 +93,18 @@
 			Answer: forward.Answer{Failure: refusal, Reason: forward.TurnedAway}, Version: table.Version(), Route: route, Overload: decision.Level,
 		}
 	}
+	versions, refusal := g.clear(ctx, call, route, until)
+	if refusal != nil {
+		return Result{Answer: forward.Answer{Failure: refusal, Reason: forward.Quarantined}, Version: table.Version(), Route: route}
+	}
 	g.awaitBackEnds(ctx, route, until)
 	if ctx.Err() != nil {
 		// Nobody waits for the answer: no back end shall begin to work on it.
 		return Result{Gone: true, Version: table.Version(), Route: route}
 	}
 	run := newRun(g, call, route, arrived)
+	run.versions = versions
+	defer run.endTrial()
 	answer := run.toEnd(ctx)
 	if answer.Reason == forward.NoBackEnd {
 		g.lookSoon()
@@ -133,6 +139,9 @@
 	cancels map[*forward.Attempt]context.CancelFunc
 	answer  *forward.Answer
 	gone    bool
+	// versions of software that may get the request, if any are named; trial: it is sent to one back end at a time.
+	versions []string
+	trial    bool
 }
 
 // ended is an attempt with its outcome.
@@ -184,7 +193,8 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.now()
-	parameters := forward.Parameters{Route: r.route, Arrived: r.arrived}
+	parameters := forward.Parameters{Route: r.route, Arrived: r.arrived, Versions: r.versions}
+	r.beginTrial(now)
 	if r.route.FansOut() {
 		for _, service := range r.route.Shards {
 			g.budget(service).Request(now, 1)
@@ -196,7 +206,7 @@
 	if !r.call.Deadline.IsZero() {
 		parameters.Deadline = r.call.Deadline.Sub(g.started)
 	}
-	request, actions := forward.Start(now, parameters, g.settings.Load().Forward, world{g, now})
+	request, actions := forward.Start(now, parameters, g.settings.Load().Forward, world{g, now, r.call})
 	r.request = request
 	r.deadline = g.at(request.Deadline())
 	r.carryOut(now, actions)
@@ -208,7 +218,7 @@
 	defer g.mutex.Unlock()
 	now := g.now()
 	// The request holds the world of its last step; bring it up to date.
-	r.request.At(world{g, now})
+	r.request.At(world{g, now, r.call})
 	r.carryOut(now, decide(now))
 }
 
@@ -284,6 +294,8 @@
 	switch {
 	case cancelled && outcome.Kind != forward.Answered:
 		return replica.Abandoned
+	case outcome.BackEndEnded:
+		return replica.Unreachable
 	case outcome.TurnedAway:
 		return replica.TurnedAway
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,7 @@
 	"stiletrail/internal/clock"
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
+	"stiletrail/internal/quarantine"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/settings"
 	"stiletrail/internal/spread"
@@ -65,7 +66,8 @@
 		RetryShare: s.RetryShare * (1 - retryMargin), RetryWindow: s.RetryWindow, HedgeReserve: hedgeReserve,
 		ShareConnections: s.ShareConnections, YoungPart: s.YoungPart, StoreTurns: s.StoreTurns, PeerCopies: s.PeerCopies,
 		Watchers: s.Watchers, StartingHold: s.StartingHold,
-		Linger: s.Linger, TurnAway: s.TurnAway, MaximumRequests: s.MaximumRequests, Seed: rand.Uint64(),
+		Quarantine: quarantine.Settings{Rounds: s.QuarantineRounds, For: clock.Of(s.QuarantineFor)},
+		Linger:     s.Linger, TurnAway: s.TurnAway, MaximumRequests: s.MaximumRequests, Seed: rand.Uint64(),
 	}
 }
 
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/follow"
 	"stiletrail/internal/message"
+	"stiletrail/internal/quarantine"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
 )
@@ -36,6 +38,16 @@
 	More bool
 }
 
+// Write is something that a node keeps in the store.
+type Write struct {
+	Key   string
+	Value []byte
+	// For is how long it stays at most.
+	For clock.Ms
+	// First: it is written only where there is nothing yet.
+	First bool
+}
+
 // Store is read for the configuration and the back ends. Failures have the code STORE_UNAVAILABLE; Trouble tells their kind.
 type Store interface {
 	List(ctx context.Context, after string) (Page, error)
@@ -43,6 +55,11 @@
 	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]message.StoreRecord, uint64, error)
 	// Decode says what a record means. A value that cannot be read is noted in the item.
 	Decode(record message.StoreRecord) Item
+	// Write writes something that nodes keep in the store themselves, and reports whether it did: not where it is there already and the write is to be
+	// the first.
+	Write(ctx context.Context, w Write) (written bool, err error)
+	// Remove takes something away that nodes keep there.
+	Remove(ctx context.Context, key string) error
 	// Trouble is the kind of a failure of this store.
 	Trouble(err error) follow.Trouble
 }
@@ -62,6 +79,7 @@
 // Run follows the store until the context ends.
 func (g *Gateway) Run(ctx context.Context) {
 	go g.maintain(ctx)
+	go g.keepQuarantines(ctx)
 	if g.members != nil {
 		go g.tickPeers(ctx)
 	}
@@ -218,6 +236,10 @@
 
 // apply brings what a record means in force.
 func (g *Gateway) apply(now time.Duration, record message.StoreRecord) {
+	if mark, found := quarantine.MarkOfKey(record.Key); found {
+		g.takeQuarantine(now, mark, record)
+		return
+	}
 	item := g.store.Decode(record)
 	if item.Err != nil {
 		g.journal.Rejected(&item)
@@ -255,6 +277,10 @@
 
 // vanished takes in that a key is gone. A back end of that is used on until a moment.
 func (g *Gateway) vanished(now time.Duration, key string, doubt time.Duration) {
+	if mark, found := quarantine.MarkOfKey(key); found {
+		g.dropQuarantine(now, mark)
+		return
+	}
 	id := g.store.Decode(message.StoreRecord{Key: key, Gone: true}).BackEndID
 	if id != "" && g.replicas.Remove(now, id, doubt) {
 		g.journal.Vanished(id, doubt <= now)
--- /dev/null
+++ b/internal/message/evidence.go
@@ -0,0 +1,72 @@
+package message
+
+import "stiletrail/internal/clock"
+
+// Evidence says what a node knows of requests that have ended back ends. Ages and lengths are in milliseconds.
+type Evidence struct {
+	Requests []RequestEvidence
+}
+
+// RequestEvidence is what is known of one request.
+type RequestEvidence struct {
+	// Mark of the request; 16 bytes.
+	Mark [16]byte
+	// Runs whose back ends ended, none of which was answered since.
+	Runs []EndedRun
+	// Answered: a back end has answered the request, AnsweredMs ago.
+	Answered   bool
+	AnsweredMs uint32
+	// QuarantinedMs is how much longer the request is kept from back ends; 0 where it is not.
+	QuarantinedMs uint32
+	// Versions of the back ends' software that the request ended, sound ones that answer it.
+	Versions []string
+	Sound    []string
+}
+
+// EndedRun is a run of a request at a back end that ended meanwhile.
+type EndedRun struct {
+	Service string
+	BackEnd string
+	Version string
+	BeganMs uint32
+	EndedMs uint32
+}
+
+// Kind implements Message.
+func (*Evidence) Kind() Kind { return KindEvidence }
+func (m *Evidence) fields(c *codec) {
+	list(c, &m.Requests, func(c *codec, r *RequestEvidence) {
+		c.fixed(&r.Mark)
+		list(c, &r.Runs, func(c *codec, run *EndedRun) {
+			c.string(&run.Service)
+			c.string(&run.BackEnd)
+			c.string(&run.Version)
+			c.uint32(&run.BeganMs)
+			c.uint32(&run.EndedMs)
+		})
+		c.bool(&r.Answered)
+		c.uint32(&r.AnsweredMs)
+		c.uint32(&r.QuarantinedMs)
+		list(c, &r.Versions, (*codec).string)
+		list(c, &r.Sound, (*codec).string)
+	})
+}
+
+// WithAge implements Aged.
+func (m *Evidence) WithAge(waited clock.Ms) Message {
+	later := uint32(waited)
+	older := &Evidence{Requests: make([]RequestEvidence, len(m.Requests))}
+	for i, r := range m.Requests {
+		runs := make([]EndedRun, len(r.Runs))
+		for n, run := range r.Runs {
+			run.BeganMs += later
+			run.EndedMs += later
+			runs[n] = run
+		}
+		r.Runs = runs
+		r.AnsweredMs += later
+		r.QuarantinedMs -= min(r.QuarantinedMs, later)
+		older.Requests[i] = r
+	}
+	return older
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -31,6 +31,7 @@
 	KindStoreDigest
 	KindStoreRequest
 	KindStoreRecords
+	KindEvidence
 )
 
 // Message is one of the types of this package.
@@ -63,6 +64,7 @@
 	KindStoreDigest:      func() Message { return new(StoreDigest) },
 	KindStoreRequest:     func() Message { return new(StoreRequest) },
 	KindStoreRecords:     func() Message { return new(StoreRecords) },
+	KindEvidence:         func() Message { return new(Evidence) },
 }
 
 func newMessage(kind Kind) Message {
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,323 @@
+package quarantine
+
+import (
+	"slices"
+
+	"stiletrail/internal/clock"
+)
+
+// Settings of a core.
+type Settings struct {
+	// Rounds of runs, each begun after the one before had ended its back end, and none answered, put a request under quarantine. 0 never does.
+	Rounds int
+	// For is how long it is under quarantine.
+	For clock.Ms
+}
+
+// Bounds of what is remembered. An entry takes about a kilobyte at most, and none is made unless a back end has ended.
+const (
+	mostRecords  = 1024
+	mostRuns     = 24
+	mostBackEnds = 64
+	mostVersions = 8
+	// keepFor is how long a request is suspected that has ended back ends and does not come again.
+	keepFor = 3600 * clock.Second
+	// shardRounds more are needed to leave out one shard, whose back ends a request ends while others answer it: there is less to tell it by.
+	shardRounds = 1
+)
+
+// Back ends that end by themselves, as with a zone, take requests with them that have done nothing. Where, beside a request, so many others as
+// endsPerRound ended within doubtFor, another round is asked for, up to mostDoubt.
+const (
+	doubtFor     = 2 * clock.Second
+	endsPerRound = 3
+	mostDoubt    = 2
+	mostEnds     = 64
+)
+
+// Verdict on a request.
+type Verdict int
+
+// The verdicts.
+const (
+	// Clear: it may be sent to all that it asks for.
+	Clear Verdict = iota
+	// Suspect: back ends ended under it and none has answered it since. It may be sent to one back end at a time, until one answers.
+	Suspect
+	// Quarantined: it ends what runs it, and is sent to nobody.
+	Quarantined
+)
+
+// String names the verdict in logs.
+func (v Verdict) String() string { return [...]string{"clear", "suspect", "quarantined"}[v] }
+
+// Run is that of a request at a back end that ended meanwhile.
+type Run struct {
+	Service string
+	// BackEnd names one life of a back end, Version its software.
+	BackEnd string
+	Version string
+	Began   clock.Ms
+	Ended   clock.Ms
+}
+
+// record is what is known of a request.
+type record struct {
+	mark Mark
+	// runs that ended their back ends, of services that have not answered since; backEnds are those of all runs.
+	runs     []Run
+	backEnds []string
+	// answeredAt is when a back end last answered the request, where answered.
+	answered   bool
+	answeredAt clock.Ms
+	// until is the end of the quarantine, by this node's own account or another node's; stored: the store says that it is under quarantine.
+	until    clock.Ms
+	stored   bool
+	storedAt clock.Ms
+	// shardsUntil are the ends of the quarantine at single shards.
+	shardsUntil map[string]clock.Ms
+	// versions of software that the request ended, sound ones that have answered it since.
+	versions []string
+	sound    []string
+	touched  clock.Ms
+}
+
+// Core is what a node knows of requests that have ended back ends. Its times are moments on the node's clock.
+type Core struct {
+	settings Settings
+	records  map[Mark]*record
+	// ends are the back ends that ended of late, whatever they ran.
+	ends []Run
+}
+
+// New returns a core that suspects nobody.
+func New(settings Settings) *Core { return &Core{settings: settings, records: map[Mark]*record{}} }
+
+// Reconfigure changes the settings from now on.
+func (c *Core) Reconfigure(settings Settings) { c.settings = settings }
+
+// Len is the number of requests that something is remembered of.
+func (c *Core) Len() int { return len(c.records) }
+
+// Count is the number of requests under quarantine.
+func (c *Core) Count(now clock.Ms) (count int) {
+	for _, r := range c.records {
+		if r.quarantined(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Verdict on a request as a whole.
+func (c *Core) Verdict(now clock.Ms, mark Mark) Verdict {
+	r := c.records[mark]
+	switch {
+	case r == nil || c.settings.Rounds == 0:
+		return Clear
+	case r.quarantined(now):
+		return Quarantined
+	case r.rounds() > 0:
+		return Suspect
+	}
+	return Clear
+}
+
+// LeftOut reports whether a request is to be kept from one shard, whose back ends it ends while others answer it.
+func (c *Core) LeftOut(now clock.Ms, mark Mark, service string) bool {
+	r := c.records[mark]
+	return r != nil && c.settings.Rounds > 0 && now < r.shardsUntil[service]
+}
+
+// Left is how much longer a request is under quarantine at most, unless it ends more back ends; at least a second.
+func (c *Core) Left(now clock.Ms, mark Mark) clock.Ms {
+	r := c.records[mark]
+	if r == nil || !r.quarantined(now) {
+		return 0
+	}
+	left := r.until - now
+	if r.stored {
+		// It goes with the store's item, which is as old as what this node has read of it, or older.
+		left = max(left, r.storedAt+c.settings.For-now)
+	}
+	return max(left, clock.Second)
+}
+
+// Ended takes in that a back end ended under a request. It reports whether other nodes should know, and whether the request is under quarantine by it.
+func (c *Core) Ended(now clock.Ms, mark Mark, run Run) (tell, convicted bool) {
+	c.noteEnd(now, run)
+	return c.add(now, c.recordOf(now, mark), run)
+}
+
+// add takes a run into a record.
+func (c *Core) add(now clock.Ms, r *record, run Run) (grew, convicted bool) {
+	if slices.ContainsFunc(r.runs, func(known Run) bool { return known.BackEnd == run.BackEnd }) {
+		return false, false
+	}
+	r.touched = now
+	r.backEnds = appendNew(r.backEnds, run.BackEnd, mostBackEnds)
+	r.versions = appendNew(r.versions, run.Version, mostVersions)
+	r.sound = slices.DeleteFunc(r.sound, func(version string) bool { return version == run.Version })
+	before, beforeAtShard := r.rounds(), r.shardRounds(run.Service)
+	r.runs = append(r.runs, run)
+	rounds, atShard := r.rounds(), r.shardRounds(run.Service)
+	if len(r.runs) > mostRuns && rounds == before && atShard == beforeAtShard {
+		r.runs = r.runs[:len(r.runs)-1]
+	}
+	if atShard >= c.settings.Rounds+shardRounds+c.doubt(now, r) && atShard > rounds {
+		if r.shardsUntil == nil {
+			r.shardsUntil = map[string]clock.Ms{}
+		}
+		r.shardsUntil[run.Service] = now + c.settings.For
+	}
+	if rounds > before && c.settings.Rounds > 0 && rounds >= c.settings.Rounds+c.doubt(now, r) && !r.quarantined(now) {
+		r.until = now + c.settings.For
+		return true, true
+	}
+	return rounds > before, false
+}
+
+// Answered takes in that a back end answered a request: it does not end what runs it. It reports whether other nodes should know, since they may
+// suspect it.
+func (c *Core) Answered(now clock.Ms, mark Mark, service, version string) (tell bool) {
+	r := c.records[mark]
+	if r == nil {
+		return false
+	}
+	suspected := r.rounds() > 0 || r.quarantined(now)
+	c.acquit(now, r, now, service, version)
+	return suspected
+}
+
+// acquit takes in that a service answered a request at a moment. Where only other software than what answered is known to be ended by it, the request
+// stays under quarantine there.
+func (c *Core) acquit(now clock.Ms, r *record, at clock.Ms, service, version string) {
+	r.touched = now
+	r.runs = slices.DeleteFunc(r.runs, func(run Run) bool { return run.Service == service && run.Ended <= at })
+	delete(r.shardsUntil, service)
+	if version != "" && r.quarantined(now) && !slices.Contains(r.versions, version) {
+		r.sound = appendNew(r.sound, version, mostVersions)
+		return
+	}
+	if !r.answered || at > r.answeredAt {
+		r.answered, r.answeredAt = true, at
+	}
+	r.until, r.stored = 0, false
+	if len(r.runs) == 0 && len(r.shardsUntil) == 0 {
+		r.backEnds, r.versions = nil, nil
+	}
+}
+
+// Sound are the versions of software that are known to run a request that is under quarantine for others.
+func (c *Core) Sound(mark Mark) []string {
+	if r := c.records[mark]; r != nil {
+		return slices.Clone(r.sound)
+	}
+	return nil
+}
+
+// Untried gives one of some versions that a request under quarantine has neither ended nor been answered by; false if there is none.
+func (c *Core) Untried(mark Mark, versions []string) (version string, found bool) {
+	r := c.records[mark]
+	if r == nil || len(r.versions) == 0 {
+		// What it has ended is not known here, so nothing is known to be new to it.
+		return "", false
+	}
+	for _, version := range versions {
+		if version != "" && !slices.Contains(r.versions, version) && !slices.Contains(r.sound, version) {
+			return version, true
+		}
+	}
+	return "", false
+}
+
+// doubt is how many more rounds are asked for, by the back ends that ended of late without the request.
+func (c *Core) doubt(now clock.Ms, r *record) int {
+	others := 0
+	for _, end := range c.ends {
+		if now-end.Ended <= doubtFor && !slices.Contains(r.backEnds, end.BackEnd) {
+			others++
+		}
+	}
+	return min(others/endsPerRound, mostDoubt)
+}
+
+// noteEnd remembers a back end that ended, once.
+func (c *Core) noteEnd(now clock.Ms, run Run) {
+	c.ends = slices.DeleteFunc(c.ends, func(end Run) bool { return now-end.Ended > doubtFor || end.BackEnd == run.BackEnd })
+	if len(c.ends) < mostEnds {
+		c.ends = append(c.ends, run)
+	}
+}
+
+// recordOf returns the record of a request, a new one if there is none. Where there are too many the one goes that was not touched for longest, of
+// those that are not under quarantine if there are any.
+func (c *Core) recordOf(now clock.Ms, mark Mark) *record {
+	if known := c.records[mark]; known != nil {
+		return known
+	}
+	if len(c.records) >= mostRecords {
+		var oldest *record
+		for _, r := range c.records {
+			if oldest == nil || less(now, r, oldest) {
+				oldest = r
+			}
+		}
+		delete(c.records, oldest.mark)
+	}
+	created := &record{mark: mark, touched: now}
+	c.records[mark] = created
+	return created
+}
+
+// less orders records by what is forgotten first.
+func less(now clock.Ms, a, b *record) bool {
+	if a.quarantined(now) != b.quarantined(now) {
+		return !a.quarantined(now)
+	}
+	return a.touched < b.touched
+}
+
+// Forget drops what has not been touched for long.
+func (c *Core) Forget(now clock.Ms) {
+	for mark, r := range c.records {
+		if now-r.touched > keepFor && !r.quarantined(now) {
+			delete(c.records, mark)
+		}
+	}
+}
+
+func (r *record) quarantined(now clock.Ms) bool { return r.stored || now < r.until }
+
+// rounds is the greatest number of runs that followed each other since the request was last answered: each began after the one before had ended.
+// Runs at the same time count once, since whatever ended one back end may have ended the others.
+func (r *record) rounds() int {
+	return chain(r.runs, func(run Run) bool { return !r.answered || run.Ended > r.answeredAt })
+}
+
+// shardRounds are the rounds at one service, which has not answered since.
+func (r *record) shardRounds(service string) int {
+	return chain(r.runs, func(run Run) bool { return run.Service == service })
+}
+
+// chain is the length of the longest sequence of runs that follow each other: of those left, the one that ended first is always part of one.
+func chain(runs []Run, counts func(Run) bool) int {
+	sorted := slices.SortedFunc(slices.Values(runs), func(a, b Run) int { return int(a.Ended - b.Ended) })
+	length := 0
+	var last clock.Ms
+	for _, run := range sorted {
+		if counts(run) && (length == 0 || run.Began >= last) {
+			length++
+			last = run.Ended
+		}
+	}
+	return length
+}
+
+// appendNew appends a value that is not there yet, as long as there are fewer than most.
+func appendNew(values []string, value string, most int) []string {
+	if value == "" || slices.Contains(values, value) || len(values) >= most {
+		return values
+	}
+	return append(values, value)
+}
--- /dev/null
+++ b/internal/quarantine/store.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+
+	"stiletrail/internal/clock"
+	"stiletrail/internal/failure"
+)
+
+// Keys of the store that nodes write. Each goes by itself when the quarantine is over.
+const (
+	keyPrefix      = "quarantine/"
+	retrialsPrefix = "quarantine-retrial/"
+)
+
+// Item is a quarantine as it is kept in the store.
+type Item struct {
+	// Versions of software that the request ended, sound ones that answer it.
+	Versions []string `json:"versions"`
+	Sound    []string `json:"sound,omitempty"`
+}
+
+// KeyOf is the store's key of a request.
+func KeyOf(mark Mark) string { return keyPrefix + hex.EncodeToString(mark[:]) }
+
+// RetrialKey is the store's key by which nodes agree on who sends a request to a new version of the software.
+func RetrialKey(mark Mark, version string) string {
+	return retrialsPrefix + hex.EncodeToString(mark[:]) + "/" + hex.EncodeToString([]byte(version))
+}
+
+// MarkOfKey gives the request that a key of the store is about; false where it is about none.
+func MarkOfKey(key string) (mark Mark, found bool) {
+	text, found := strings.CutPrefix(key, keyPrefix)
+	if !found {
+		return mark, false
+	}
+	decoded, err := hex.DecodeString(text)
+	if err != nil || len(decoded) != len(mark) {
+		return mark, false
+	}
+	return Mark(decoded), true
+}
+
+// Encode gives the value of a request's key.
+func (c *Core) Encode(mark Mark) []byte {
+	item := Item{}
+	if r := c.records[mark]; r != nil {
+		item.Versions, item.Sound = r.versions, r.sound
+	}
+	value, err := json.Marshal(item)
+	if err != nil {
+		panic("quarantine: an item of strings cannot be encoded: " + err.Error())
+	}
+	return value
+}
+
+// Store takes in what the store says of a request. It reports whether the request is under quarantine by it that was not before. An error, of code
+// MALFORMED, changes nothing.
+func (c *Core) Store(now clock.Ms, mark Mark, value []byte) (convicted bool, err error) {
+	var item Item
+	if err := json.Unmarshal(value, &item); err != nil {
+		return false, failure.Wrap(err, failure.Malformed, "the quarantine of a request cannot be read")
+	}
+	r := c.recordOf(now, mark)
+	convicted = !r.quarantined(now)
+	if !r.stored {
+		r.storedAt = now
+	}
+	r.stored, r.touched = true, now
+	r.versions = appendAll(r.versions, item.Versions)
+	r.sound = appendAll(r.sound, item.Sound)
+	return convicted, nil
+}
+
+// Unstore takes in that the store says nothing of a request any more: its quarantine is over, unless this node has seen more itself or heard of it.
+func (c *Core) Unstore(now clock.Ms, mark Mark) (released bool) {
+	r := c.records[mark]
+	if r == nil || !r.stored {
+		return false
+	}
+	r.stored = false
+	return !r.quarantined(now)
+}
+
+// Unstored are the requests under quarantine that the store says nothing of, with how much longer they are.
+func (c *Core) Unstored(now clock.Ms) map[Mark]clock.Ms {
+	var found map[Mark]clock.Ms
+	for mark, r := range c.records {
+		if !r.stored && now < r.until {
+			if found == nil {
+				found = map[Mark]clock.Ms{}
+			}
+			found[mark] = r.until - now
+		}
+	}
+	return found
+}
+
+func appendAll(values, more []string) []string {
+	for _, value := range more {
+		values = appendNew(values, value, mostVersions)
+	}
+	return values
+}
--- /dev/null
+++ b/internal/quarantine/tell.go
@@ -0,0 +1,141 @@
+package quarantine
+
+import (
+	"slices"
+
+	"stiletrail/internal/clock"
+	"stiletrail/internal/message"
+)
+
+// Bounds of a message: the requests of one, and the runs that are told of each. What is left out only delays a verdict.
+const (
+	mostTold     = 32
+	mostRunsTold = 6
+)
+
+// longestAge bounds ages on the wire.
+const longestAge = 3600 * clock.Second
+
+// Tell gives what other nodes should know of some requests.
+func (c *Core) Tell(now clock.Ms, marks ...Mark) *message.Evidence {
+	m := &message.Evidence{}
+	for _, mark := range marks {
+		if r := c.records[mark]; r != nil && len(m.Requests) < mostTold {
+			m.Requests = append(m.Requests, r.tell(now))
+		}
+	}
+	return m
+}
+
+// TellAll gives all that other nodes should know, of the requests that matter most first; nil where there is nothing.
+func (c *Core) TellAll(now clock.Ms) *message.Evidence {
+	var all []*record
+	for _, r := range c.records {
+		if r.rounds() > 0 || r.until > now {
+			all = append(all, r)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	slices.SortFunc(all, func(a, b *record) int {
+		if less(now, b, a) {
+			return -1
+		}
+		return 1
+	})
+	m := &message.Evidence{}
+	for _, r := range all[:min(len(all), mostTold)] {
+		m.Requests = append(m.Requests, r.tell(now))
+	}
+	return m
+}
+
+func (r *record) tell(now clock.Ms) message.RequestEvidence {
+	told := message.RequestEvidence{Mark: r.mark, QuarantinedMs: age(r.until - now), Versions: r.versions, Sound: r.sound, Answered: r.answered}
+	if r.answered {
+		told.AnsweredMs = age(now - r.answeredAt)
+	}
+	for _, run := range r.runs[max(0, len(r.runs)-mostRunsTold):] {
+		told.Runs = append(told.Runs, message.EndedRun{
+			Service: run.Service, BackEnd: run.BackEnd, Version: run.Version, BeganMs: age(now - run.Began), EndedMs: age(now - run.Ended),
+		})
+	}
+	return told
+}
+
+func age(length clock.Ms) uint32 { return uint32(max(0, min(length, longestAge))) }
+
+// News is what a message from another node has changed.
+type News struct {
+	// Tell are the requests of which more is known than before, for others to know.
+	Tell []Mark
+	// Convicted are those under quarantine since.
+	Convicted []Mark
+	// Released are those that were, and are not any more.
+	Released []Mark
+}
+
+// Receive takes in what another node knows. What was seen there counts as what is seen here; a quarantine holds for as long as it would there.
+func (c *Core) Receive(now clock.Ms, m *message.Evidence) (news News) {
+	for i := range m.Requests[:min(len(m.Requests), mostTold)] {
+		c.receive(now, &m.Requests[i], &news)
+	}
+	return news
+}
+
+func (c *Core) receive(now clock.Ms, told *message.RequestEvidence, news *News) {
+	mark := Mark(told.Mark)
+	if c.records[mark] == nil && len(told.Runs) == 0 && told.QuarantinedMs == 0 {
+		return
+	}
+	r := c.recordOf(now, mark)
+	before := r.quarantined(now)
+	more := false
+	if answeredAt := now - clock.Ms(told.AnsweredMs); told.Answered && (!r.answered || answeredAt > r.answeredAt+sameMoment) {
+		more = r.rounds() > 0 || before
+		r.answered, r.answeredAt = true, answeredAt
+		if lastEnded(r.runs) <= answeredAt && told.QuarantinedMs == 0 {
+			r.until, r.stored = 0, false
+		}
+	}
+	for _, run := range told.Runs[:min(len(told.Runs), mostRunsTold)] {
+		grew, _ := c.add(now, r, Run{
+			Service: run.Service, BackEnd: run.BackEnd, Version: run.Version, Began: now - clock.Ms(run.BeganMs), Ended: now - clock.Ms(run.EndedMs),
+		})
+		more = more || grew
+	}
+	for _, version := range told.Versions {
+		r.versions = appendNew(r.versions, version, mostVersions)
+	}
+	if until := now + clock.Ms(min(told.QuarantinedMs, uint32(longestAge))); told.QuarantinedMs > 0 && until > r.until+sameMoment {
+		more = more || r.until <= now
+		r.until = until
+	}
+	for _, version := range told.Sound {
+		if !slices.Contains(r.sound, version) {
+			r.sound = appendNew(r.sound, version, mostVersions)
+			more = true
+		}
+	}
+	after := r.quarantined(now)
+	switch {
+	case after && !before:
+		news.Convicted = append(news.Convicted, mark)
+	case before && !after:
+		news.Released = append(news.Released, mark)
+	}
+	if more || after != before {
+		news.Tell = append(news.Tell, mark)
+	}
+}
+
+// sameMoment is by how much two accounts of one moment may differ, by what they took on their way.
+const sameMoment = 500 * clock.Ms(1)
+
+func lastEnded(runs []Run) (last clock.Ms) {
+	for _, run := range runs {
+		last = max(last, run.Ended)
+	}
+	return last
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -29,13 +29,28 @@
 	return slices.ContainsFunc(s.byService[service], (*Replica).candidate)
 }
 
+// Versions are those of the software of a service's back ends that may be picked.
+func (s *Set) Versions(service string) (versions []string) {
+	for _, member := range s.byService[service] {
+		if member.candidate() && !slices.Contains(versions, member.Version) {
+			versions = append(versions, member.Version)
+		}
+	}
+	return versions
+}
+
 // Choice says which replicas of a service may be picked: of those in Only, if there are any, all but those excluded.
 type Choice struct {
 	Excluded []*Replica
 	Only     []*Replica
+	// Versions of software that may be picked, if any are named.
+	Versions []string
 }
 
 func (c Choice) allows(r *Replica) bool {
+	if len(c.Versions) > 0 && !slices.Contains(c.Versions, r.Version) {
+		return false
+	}
 	return !slices.Contains(c.Excluded, r) && (len(c.Only) == 0 || slices.Contains(c.Only, r))
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -17,6 +17,8 @@
 	// Address is an IP address and port; another incarnation may have it later.
 	Address string
 	Zone    string
+	// Version of its software, empty where it is not told.
+	Version string
 	// Slots is the number of requests the back end works on at a time.
 	Slots    int
 	Draining bool
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -78,6 +78,10 @@
 	StartingHold time.Duration
 	// TurnAway refuses a part of the requests at once, as not run, while back ends cannot answer all of them by the target.
 	TurnAway bool
+	// QuarantineRounds of runs of a request, one after the other, that end their back ends put it under quarantine for QuarantineFor; 0 never does. With
+	// fewer than three, back ends that end by themselves one after the other may put it there.
+	QuarantineRounds int
+	QuarantineFor    time.Duration
 	// WithdrawnFactor times its age is taken for the latency of an attempt that was withdrawn without an answer; 1 takes it for as quick as it was old.
 	WithdrawnFactor float64
 	// Linger is how long an attempt whose answer is of no more use may go on before its connection is closed. 0 closes it at once: the work that
@@ -92,6 +96,7 @@
 		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.45, RetryPace: 25 * time.Millisecond, EarlyFinish: true, Locality: 130 * time.Millisecond,
 		MaximumRequests: 2000, SiblingHedges: true, LastExtras: 2, SubsetSize: 2, FewRest: true, ShareConnections: true, YoungPart: 2,
 		Ejection: true, Doubt: true, StoreTurns: true, Watchers: 3, PeerCopies: true, ProveConnections: true, StartingHold: 250 * time.Millisecond, TurnAway: true, WithdrawnFactor: 2,
+		QuarantineRounds: 3, QuarantineFor: 10 * time.Minute,
 	}
 }
 
@@ -136,6 +141,8 @@
 	{"peer_copies", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.PeerCopies })},
 	{"prove_connections", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.ProveConnections })},
 	{"turn_away", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.TurnAway })},
+	{"quarantine_rounds", "0 to 100", false, integer(0, 100, func(s *Gateway) *int { return &s.QuarantineRounds })},
+	{"quarantine_for", "10s to 10m", false, duration(10*time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.QuarantineFor })},
 	{"withdrawn_factor", "1 to 10", false, fraction(1, 10, func(s *Gateway) *float64 { return &s.WithdrawnFactor })},
 	{"linger", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.Linger })},
 	{"starting_hold", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.StartingHold })},
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -9,8 +9,10 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"stiletrail/internal/clock"
+	"stiletrail/internal/failure"
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
+	"stiletrail/internal/quarantine"
 	"stiletrail/internal/transport"
 )
 
@@ -100,6 +102,18 @@
 	m.Journal.BackEndEnded(call, attempt, ran)
 }
 
+// Judged implements gateway.Journal.
+func (m *Metrics) Judged(mark quarantine.Mark, verdict quarantine.Verdict, by string, left clock.Ms) {
+	m.count("stiletrail_verdicts_total", "verdict", verdict.String())
+	m.Journal.Judged(mark, verdict, by, left)
+}
+
+// QuarantineLost implements gateway.Journal.
+func (m *Metrics) QuarantineLost(mark quarantine.Mark, cause *failure.Failure) {
+	m.set.GetOrCreateCounter("stiletrail_quarantines_not_written_total").Inc()
+	m.Journal.QuarantineLost(mark, cause)
+}
+
 // Rejected implements gateway.Journal.
 func (m *Metrics) Rejected(item *gateway.Item) {
 	m.set.GetOrCreateCounter("stiletrail_items_rejected_total").Inc()
@@ -125,6 +139,7 @@
 	for _, state := range []string{gateway.BackEndReady, gateway.BackEndDraining, gateway.BackEndEjected, gateway.BackEndDoubtful} {
 		gauge(fmt.Sprintf(`stiletrail_back_ends{state=%q}`, state), func() float64 { return float64(source.Gateway.Belief().BackEnds[state]) })
 	}
+	gauge("stiletrail_requests_quarantined", func() float64 { return float64(source.Gateway.Belief().Quarantined) })
 	gauge("stiletrail_back_end_connections", func() float64 { return float64(source.BackEndConnections()) })
 	gauge("stiletrail_back_end_connections_opened_total", func() float64 { return float64(source.BackEndConnectionsOpened()) })
 	if frames := source.PeerFrames; frames != nil {
