--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -113,7 +113,7 @@
 	fields := logrus.Fields{
 		fieldEvent: EventRequest, fieldRequest: call.ID, fieldVersion: result.Version, fieldElapsed: result.Elapsed.Milliseconds(),
 		fieldReason: string(result.Reason), fieldOutcome: result.Outcome(), fieldCopyAge: result.CopyAge,
-		fieldMark: call.Mark.String(), fieldCaller: call.Caller,
+		fieldMark: call.Identity.Question.String(), fieldCaller: call.Caller,
 	}
 	if result.Route != nil {
 		fields[fieldRoute] = result.Route.Name
@@ -184,7 +184,7 @@
 		return
 	}
 	l.log.WithFields(logrus.Fields{
-		fieldEvent: EventBackEndEnded, fieldRequest: call.ID, fieldMark: call.Mark.String(), fieldCaller: call.Caller, fieldBackEnd: attempt.Replica.ID,
+		fieldEvent: EventBackEndEnded, fieldRequest: call.ID, fieldMark: call.Identity.Question.String(), fieldCaller: call.Caller, fieldBackEnd: attempt.Replica.ID,
 		fieldService: attempt.Service, fieldRan: ran,
 	}).Warn(EventBackEndEnded)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -356,7 +356,10 @@
 		if s.held {
 			continue
 		}
-		if s.waiting && now >= s.lookAgainAt {
+		if r.caution.suspect && (s.waiting || s.paused) && now >= s.lookAgainAt {
+			// Its turn comes with the next trial.
+			s.waiting, s.paused, s.held = false, false, true
+		} else if s.waiting && now >= s.lookAgainAt {
 			r.tryFirst(now, i)
 		} else if s.paused && now >= s.lookAgainAt {
 			r.resume(now, i)
--- a/internal/gateway/crashing_test.go
+++ b/internal/gateway/crashing_test.go
@@ -221,7 +221,7 @@
 	f.mu.Unlock()
 	call := &gateway.Call{
 		ID: "id", Host: "h", Path: path, Deadline: time.Now().Add(4 * time.Second), Caller: "caller",
-		Mark: quarantine.MarkOf([]byte("caller"), []byte(path)),
+		Identity: quarantine.IdentityOf("caller", []byte(path)),
 	}
 	return g.Serve(context.Background(), call)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,9 +31,9 @@
 	Path string
 	// Deadline is when the caller stops waiting; zero if it did not say.
 	Deadline time.Time
-	// Mark tells the request from others, also when it comes again with another id; Caller is the address it came from, without the port.
-	Mark   quarantine.Mark
-	Caller string
+	// Identity is what the request is known by when it comes again with another id; Caller is the address it came from, without the port.
+	Identity quarantine.Identity
+	Caller   string
 	// Message is the request as the adapter holds it, handed through to the back-end client.
 	Message any
 }
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -127,7 +127,10 @@
 	now := clock.Of(g.now())
 	unstored := g.quarantine.Unstored(now)
 	add := func(mark quarantine.Mark, first bool) {
-		length := g.quarantine.Left(now, mark)
+		length, held := g.quarantine.Held(now, mark)
+		if !held {
+			return
+		}
 		writes = append(writes, markedWrite{mark, Write{Key: quarantine.KeyOf(mark), Value: g.quarantine.Encode(mark), For: length, First: first}})
 	}
 	for _, mark := range g.keeping.next(now, unstored, g.nodes) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -43,25 +43,17 @@
 // It returns the versions of software that may get it, if only some may.
 func (g *Gateway) clear(ctx context.Context, call *Call, route *routing.Route, until time.Duration) ([]string, *failure.Failure) {
 	for {
-		g.mutex.Lock()
-		now := clock.Of(g.now())
-		verdict, trying, sound := g.quarantine.Verdict(now, call.Mark), g.trials[call.Mark] > 0, g.quarantine.Sound(call.Mark)
-		left := g.quarantine.Left(now, call.Mark)
-		untried, found := "", false
-		if verdict == quarantine.Quarantined {
-			untried, found = g.quarantine.Untried(call.Mark, g.versionsFor(route))
-		}
-		g.mutex.Unlock()
+		known := g.knownOf(call, route)
 		switch {
-		case verdict == quarantine.Clear:
+		case known.verdict == quarantine.Clear:
 			return nil, nil
-		case verdict == quarantine.Quarantined && len(sound) > 0:
-			return sound, nil
-		case found && g.claimRetrial(ctx, call.Mark, untried):
-			return []string{untried}, nil
-		case verdict == quarantine.Quarantined:
-			return nil, failure.Refused(failure.Quarantined, "back ends end when they run the request", left.Duration())
-		case !trying:
+		case known.verdict == quarantine.Quarantined && len(known.sound) > 0:
+			return known.sound, nil
+		case known.untried != "" && g.claimRetrial(ctx, known.mark, known.untried):
+			return []string{known.untried}, nil
+		case known.verdict == quarantine.Quarantined:
+			return nil, failure.Refused(failure.Quarantined, "back ends end when they run the request", known.left.Duration())
+		case !known.trying:
 			return nil, nil
 		case g.now() >= until || ctx.Err() != nil:
 			return nil, failure.Refused(failure.Quarantined, "back ends ended when they ran the request, and it is being tried", trialComeBack)
@@ -70,6 +62,33 @@
 	}
 }
 
+// known is what a node knows of a request that may have ended back ends.
+type known struct {
+	verdict quarantine.Verdict
+	// trying: another call of the same request is sent to one back end at a time now.
+	trying bool
+	// left of a quarantine, sound versions of software that run the request, and one that has not had it yet, with the mark that the quarantine goes by.
+	left    clock.Ms
+	sound   []string
+	untried string
+	mark    quarantine.Mark
+}
+
+func (g *Gateway) knownOf(call *Call, route *routing.Route) (k known) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := clock.Of(g.now())
+	if k.verdict = g.quarantine.Verdict(now, call.Identity); k.verdict == quarantine.Clear {
+		return k
+	}
+	k.trying = g.trials[call.Identity.Question] > 0
+	k.left, k.sound = g.quarantine.Left(now, call.Identity), g.quarantine.Sound(now, call.Identity)
+	if k.verdict == quarantine.Quarantined {
+		k.mark, k.untried, _ = g.quarantine.Untried(now, call.Identity, g.versionsFor(route))
+	}
+	return k
+}
+
 // versionsFor are the versions of software of the back ends that a route goes to; the lock is held.
 func (g *Gateway) versionsFor(route *routing.Route) (versions []string) {
 	add := func(service string) {
@@ -91,9 +110,9 @@
 // beginTrial notes that a request is sent to one back end at a time; the lock is held.
 func (r *run) beginTrial(now time.Duration) {
 	g := r.gateway
-	if !r.trial && g.quarantine.Verdict(clock.Of(now), r.call.Mark) != quarantine.Clear {
+	if !r.trial && g.quarantine.Verdict(clock.Of(now), r.call.Identity) != quarantine.Clear {
 		r.trial = true
-		g.trials[r.call.Mark]++
+		g.trials[r.call.Identity.Question]++
 	}
 }
 
@@ -105,60 +124,60 @@
 	g := r.gateway
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.trials[r.call.Mark]--; g.trials[r.call.Mark] == 0 {
-		delete(g.trials, r.call.Mark)
+	if g.trials[r.call.Identity.Question]--; g.trials[r.call.Identity.Question] == 0 {
+		delete(g.trials, r.call.Identity.Question)
 	}
 }
 
 // Ended implements forward.World.
 func (w world) Ended(attempt *forward.Attempt) quarantine.Verdict {
-	g, now, mark := w.gateway, clock.Of(w.now), w.call.Mark
-	if mark == (quarantine.Mark{}) {
+	g, now := w.gateway, clock.Of(w.now)
+	if w.call.Identity == (quarantine.Identity{}) {
 		return quarantine.Clear
 	}
-	tell, convicted := g.quarantine.Ended(now, mark, quarantine.Run{
+	verdict, change := g.quarantine.Ended(now, w.call.Identity, quarantine.Run{
 		Service: attempt.Service, BackEnd: attempt.Replica.ID, Version: attempt.Replica.Version,
 		Began: clock.Of(attempt.StartedAt), Ended: clock.Of(attempt.EndedAt),
 	})
-	if convicted {
-		g.judged(now, mark, byOwn)
-	}
-	if tell {
-		g.tellEvidence(now, mark)
-	}
-	return g.quarantine.Verdict(now, mark)
+	g.changed(now, change, byOwn)
+	return verdict
 }
 
 // Verdict implements forward.World.
 func (w world) Verdict() quarantine.Verdict {
-	return w.gateway.quarantine.Verdict(clock.Of(w.now), w.call.Mark)
+	return w.gateway.quarantine.Verdict(clock.Of(w.now), w.call.Identity)
 }
 
 // LeftOut implements forward.World.
 func (w world) LeftOut(service string) bool {
-	return w.gateway.quarantine.LeftOut(clock.Of(w.now), w.call.Mark, service)
+	return w.gateway.quarantine.LeftOut(clock.Of(w.now), w.call.Identity, service)
 }
 
 // Ran implements forward.World.
 func (w world) Ran(attempt *forward.Attempt) {
-	g, now, mark := w.gateway, clock.Of(w.now), w.call.Mark
-	before := g.quarantine.Verdict(now, mark)
-	if !g.quarantine.Answered(now, mark, attempt.Service, attempt.Replica.Version) {
-		return
-	}
-	if before == quarantine.Quarantined {
-		g.judged(now, mark, byOwn)
-		g.keeping.again(mark, g.quarantine.Verdict(now, mark) == quarantine.Clear)
-	}
-	g.tellEvidence(now, mark)
-}
-
-// judged notes what has become of a request, and has the store told of a quarantine; the lock is held.
-func (g *Gateway) judged(now clock.Ms, mark quarantine.Mark, by string) {
-	g.journal.Judged(mark, g.quarantine.Verdict(now, mark), by, g.quarantine.Left(now, mark))
-	if by == byOwn {
-		g.keeping.due(mark, now)
+	g, now := w.gateway, clock.Of(w.now)
+	change := g.quarantine.Answered(now, w.call.Identity, attempt.Service, attempt.Replica.Version)
+	for _, mark := range change.Judged {
+		_, held := g.quarantine.Held(now, mark)
+		g.keeping.again(mark, !held)
+	}
+	g.changed(now, change, byOwn)
+}
+
+// changed takes note of what has become of requests, has the store told of a quarantine by this node, and tells other nodes; the lock is held.
+func (g *Gateway) changed(now clock.Ms, change quarantine.Change, by string) {
+	for _, mark := range change.Judged {
+		left, held := g.quarantine.Held(now, mark)
+		verdict := quarantine.Clear
+		if held {
+			verdict = quarantine.Quarantined
+		}
+		g.journal.Judged(mark, verdict, by, left)
+		if held && by == byOwn {
+			g.keeping.due(mark, now)
+		}
 	}
+	g.tellEvidence(now, change.Tell...)
 }
 
 // tellEvidence tells other nodes what is known of requests; the lock is held.
@@ -204,11 +223,7 @@
 // receiveEvidence takes in what another node knows of requests, and passes on what is news; the lock is held.
 func (g *Gateway) receiveEvidence(at time.Duration, m *message.Evidence) {
 	now := clock.Of(at)
-	news := g.quarantine.Receive(now, m)
-	for _, mark := range append(news.Convicted, news.Released...) {
-		g.judged(now, mark, byPeer)
-	}
-	g.tellEvidence(now, news.Tell...)
+	g.changed(now, g.quarantine.Receive(now, m), byPeer)
 }
 
 // takeQuarantine takes in what the store says of a request; the lock is held.
@@ -220,13 +235,13 @@
 		return
 	}
 	if convicted {
-		g.judged(now, mark, byStore)
+		g.changed(now, quarantine.Change{Judged: []quarantine.Mark{mark}}, byStore)
 	}
 }
 
 // dropQuarantine takes in that the store says nothing of a request any more; the lock is held.
 func (g *Gateway) dropQuarantine(at time.Duration, mark quarantine.Mark) {
 	if now := clock.Of(at); g.quarantine.Unstore(now, mark) {
-		g.judged(now, mark, byStore)
+		g.changed(now, quarantine.Change{Judged: []quarantine.Mark{mark}}, byStore)
 	}
 }
--- a/internal/quarantine/mark.go
+++ b/internal/quarantine/mark.go
@@ -10,10 +10,25 @@
 	"encoding/hex"
 )
 
-// Mark tells a request from others: two requests have the same one if they are from the same caller and ask the same. It is a cryptographic hash, the same on
-// all nodes, so that nobody can make a request of his own that bears the mark of somebody else's.
+// Mark tells requests from others. It is a cryptographic hash, the same on all nodes, so that nobody can make a request of his own that bears the mark of
+// somebody else's.
 type Mark [16]byte
 
+// Identity is what a request is known by. A caller may come from another address the next time, and the same question may end back ends for one caller
+// and not for another, so either is looked at.
+type Identity struct {
+	// Question is what is asked, whoever asks it, and Asked that by this caller: what bears one of these can be put under quarantine.
+	Question, Asked Mark
+	// Caller is who asks, whatever it is. One whose requests end back ends is sent on with care, also if each is another one.
+	Caller Mark
+}
+
+// IdentityOf gives what a request is known by that a caller sends and that is described by some parts.
+func IdentityOf(caller string, question ...[]byte) Identity {
+	asked := append([][]byte{[]byte("caller"), []byte(caller)}, question...)
+	return Identity{Question: MarkOf(question...), Asked: MarkOf(asked...), Caller: MarkOf([]byte("caller"), []byte(caller))}
+}
+
 // MarkOf gives the mark of a request that is described by some parts, in an order that is always the same.
 func MarkOf(parts ...[]byte) Mark {
 	hash := sha256.New()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -16,7 +16,7 @@
 
 // Bounds of what is remembered. An entry takes about a kilobyte at most, and none is made unless a back end has ended.
 const (
-	mostRecords  = 1024
+	mostRecords  = 3072
 	mostRuns     = 24
 	mostBackEnds = 64
 	mostVersions = 8
@@ -64,6 +64,8 @@
 // record is what is known of a request.
 type record struct {
 	mark Mark
+	// caller: it is of a caller, whatever it asks, and never put under quarantine.
+	caller bool
 	// runs that ended their back ends, of services that have not answered since; backEnds are those of all runs.
 	runs     []Run
 	backEnds []string
@@ -110,31 +112,47 @@
 }
 
 // Verdict on a request as a whole.
-func (c *Core) Verdict(now clock.Ms, mark Mark) Verdict {
-	r := c.records[mark]
-	switch {
-	case r == nil || c.settings.Rounds == 0:
+func (c *Core) Verdict(now clock.Ms, id Identity) Verdict {
+	if c.settings.Rounds == 0 {
 		return Clear
-	case r.quarantined(now):
+	}
+	if _, found := c.held(now, id); found {
 		return Quarantined
-	case r.rounds() > 0:
-		return Suspect
+	}
+	for _, mark := range []Mark{id.Question, id.Asked, id.Caller} {
+		if r := c.records[mark]; r != nil && r.rounds() > 0 {
+			return Suspect
+		}
 	}
 	return Clear
 }
 
+// held gives the record by which a request is under quarantine.
+func (c *Core) held(now clock.Ms, id Identity) (r *record, found bool) {
+	for _, mark := range []Mark{id.Question, id.Asked} {
+		if r := c.records[mark]; r != nil && r.quarantined(now) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
 // LeftOut reports whether a request is to be kept from one shard, whose back ends it ends while others answer it.
-func (c *Core) LeftOut(now clock.Ms, mark Mark, service string) bool {
-	r := c.records[mark]
+func (c *Core) LeftOut(now clock.Ms, id Identity, service string) bool {
+	r := c.records[id.Question]
 	return r != nil && c.settings.Rounds > 0 && now < r.shardsUntil[service]
 }
 
 // Left is how much longer a request is under quarantine at most, unless it ends more back ends; at least a second.
-func (c *Core) Left(now clock.Ms, mark Mark) clock.Ms {
-	r := c.records[mark]
-	if r == nil || !r.quarantined(now) {
+func (c *Core) Left(now clock.Ms, id Identity) clock.Ms {
+	r, found := c.held(now, id)
+	if !found {
 		return 0
 	}
+	return c.left(now, r)
+}
+
+func (c *Core) left(now clock.Ms, r *record) clock.Ms {
 	left := r.until - now
 	if r.stored {
 		// It goes with the store's item, which is as old as what this node has read of it, or older.
@@ -143,16 +161,50 @@
 	return max(left, clock.Second)
 }
 
-// Ended takes in that a back end ended under a request. It reports whether other nodes should know, and whether the request is under quarantine by it.
-func (c *Core) Ended(now clock.Ms, mark Mark, run Run) (tell, convicted bool) {
+// Change is what has become of what is known of requests.
+type Change struct {
+	// Tell are the marks of which other nodes should know.
+	Tell []Mark
+	// Judged are those that were put under quarantine, or are no longer.
+	Judged []Mark
+}
+
+// Ended takes in that a back end ended under a request, and gives the verdict on it: a caller whose requests go on ending back ends, one after the
+// other and none answered, gets no second back end for another one.
+func (c *Core) Ended(now clock.Ms, id Identity, run Run) (Verdict, Change) {
 	c.noteEnd(now, run)
-	return c.add(now, c.recordOf(now, mark), run)
+	var change Change
+	for _, mark := range []Mark{id.Question, id.Asked, id.Caller} {
+		r := c.recordOf(now, mark)
+		r.caller = mark == id.Caller
+		grew := c.add(now, r, run)
+		if grew {
+			change.Tell = append(change.Tell, mark)
+		}
+		if _, held := c.held(now, id); grew && !held && c.convict(now, r) {
+			change.Judged = append(change.Judged, mark)
+		}
+	}
+	verdict := c.Verdict(now, id)
+	if c.settings.Rounds > 0 && c.records[id.Caller].rounds() > c.settings.Rounds {
+		verdict = Quarantined
+	}
+	return verdict, change
 }
 
-// add takes a run into a record.
-func (c *Core) add(now clock.Ms, r *record, run Run) (grew, convicted bool) {
+// convict puts a request under quarantine if its rounds are enough.
+func (c *Core) convict(now clock.Ms, r *record) bool {
+	if c.settings.Rounds == 0 || r.caller || r.rounds() < c.settings.Rounds+c.doubt(now, r) {
+		return false
+	}
+	r.until = now + c.settings.For
+	return true
+}
+
+// add takes a run into a record and reports whether there are more rounds by it.
+func (c *Core) add(now clock.Ms, r *record, run Run) (grew bool) {
 	if slices.ContainsFunc(r.runs, func(known Run) bool { return known.BackEnd == run.BackEnd }) {
-		return false, false
+		return false
 	}
 	r.touched = now
 	r.backEnds = appendNew(r.backEnds, run.BackEnd, mostBackEnds)
@@ -170,23 +222,26 @@
 		}
 		r.shardsUntil[run.Service] = now + c.settings.For
 	}
-	if rounds > before && c.settings.Rounds > 0 && rounds >= c.settings.Rounds+c.doubt(now, r) && !r.quarantined(now) {
-		r.until = now + c.settings.For
-		return true, true
-	}
-	return rounds > before, false
+	return rounds > before
 }
 
-// Answered takes in that a back end answered a request: it does not end what runs it. It reports whether other nodes should know, since they may
-// suspect it.
-func (c *Core) Answered(now clock.Ms, mark Mark, service, version string) (tell bool) {
-	r := c.records[mark]
-	if r == nil {
-		return false
+// Answered takes in that a back end answered a request: it does not end what runs it.
+func (c *Core) Answered(now clock.Ms, id Identity, service, version string) (change Change) {
+	for _, mark := range []Mark{id.Question, id.Asked, id.Caller} {
+		r := c.records[mark]
+		if r == nil {
+			continue
+		}
+		before := r.quarantined(now)
+		if r.rounds() > 0 || before {
+			change.Tell = append(change.Tell, mark)
+		}
+		c.acquit(now, r, now, service, version)
+		if before {
+			change.Judged = append(change.Judged, mark)
+		}
 	}
-	suspected := r.rounds() > 0 || r.quarantined(now)
-	c.acquit(now, r, now, service, version)
-	return suspected
+	return change
 }
 
 // acquit takes in that a service answered a request at a moment. Where only other software than what answered is known to be ended by it, the request
@@ -209,26 +264,35 @@
 }
 
 // Sound are the versions of software that are known to run a request that is under quarantine for others.
-func (c *Core) Sound(mark Mark) []string {
-	if r := c.records[mark]; r != nil {
+func (c *Core) Sound(now clock.Ms, id Identity) []string {
+	if r, found := c.held(now, id); found {
 		return slices.Clone(r.sound)
 	}
 	return nil
 }
 
-// Untried gives one of some versions that a request under quarantine has neither ended nor been answered by; false if there is none.
-func (c *Core) Untried(mark Mark, versions []string) (version string, found bool) {
-	r := c.records[mark]
-	if r == nil || len(r.versions) == 0 {
+// Untried gives one of some versions that a request under quarantine has neither ended nor been answered by, and the mark that it is under quarantine
+// by; false if there is none.
+func (c *Core) Untried(now clock.Ms, id Identity, versions []string) (mark Mark, version string, found bool) {
+	r, held := c.held(now, id)
+	if !held || len(r.versions) == 0 {
 		// What it has ended is not known here, so nothing is known to be new to it.
-		return "", false
+		return mark, "", false
 	}
 	for _, version := range versions {
 		if version != "" && !slices.Contains(r.versions, version) && !slices.Contains(r.sound, version) {
-			return version, true
+			return r.mark, version, true
 		}
 	}
-	return "", false
+	return mark, "", false
+}
+
+// Held reports whether what bears a mark is under quarantine, and for how much longer at most.
+func (c *Core) Held(now clock.Ms, mark Mark) (left clock.Ms, held bool) {
+	if r := c.records[mark]; r != nil && r.quarantined(now) {
+		return c.left(now, r), true
+	}
+	return 0, false
 }
 
 // doubt is how many more rounds are asked for, by the back ends that ended of late without the request.
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -52,7 +52,7 @@
 }
 
 func (r *record) tell(now clock.Ms) message.RequestEvidence {
-	told := message.RequestEvidence{Mark: r.mark, QuarantinedMs: age(r.until - now), Versions: r.versions, Sound: r.sound, Answered: r.answered}
+	told := message.RequestEvidence{Mark: r.mark, QuarantinedMs: age(r.until - now), Versions: r.versions, Sound: r.sound, Answered: r.answered, Caller: r.caller}
 	if r.answered {
 		told.AnsweredMs = age(now - r.answeredAt)
 	}
@@ -66,30 +66,21 @@
 
 func age(length clock.Ms) uint32 { return uint32(max(0, min(length, longestAge))) }
 
-// News is what a message from another node has changed.
-type News struct {
-	// Tell are the requests of which more is known than before, for others to know.
-	Tell []Mark
-	// Convicted are those under quarantine since.
-	Convicted []Mark
-	// Released are those that were, and are not any more.
-	Released []Mark
-}
-
 // Receive takes in what another node knows. What was seen there counts as what is seen here; a quarantine holds for as long as it would there.
-func (c *Core) Receive(now clock.Ms, m *message.Evidence) (news News) {
+func (c *Core) Receive(now clock.Ms, m *message.Evidence) (change Change) {
 	for i := range m.Requests[:min(len(m.Requests), mostTold)] {
-		c.receive(now, &m.Requests[i], &news)
+		c.receive(now, &m.Requests[i], &change)
 	}
-	return news
+	return change
 }
 
-func (c *Core) receive(now clock.Ms, told *message.RequestEvidence, news *News) {
+func (c *Core) receive(now clock.Ms, told *message.RequestEvidence, change *Change) {
 	mark := Mark(told.Mark)
 	if c.records[mark] == nil && len(told.Runs) == 0 && told.QuarantinedMs == 0 {
 		return
 	}
 	r := c.recordOf(now, mark)
+	r.caller = told.Caller
 	before := r.quarantined(now)
 	more := false
 	if answeredAt := now - clock.Ms(told.AnsweredMs); told.Answered && (!r.answered || answeredAt > r.answeredAt+sameMoment) {
@@ -100,7 +91,7 @@
 		}
 	}
 	for _, run := range told.Runs[:min(len(told.Runs), mostRunsTold)] {
-		grew, _ := c.add(now, r, Run{
+		grew := c.add(now, r, Run{
 			Service: run.Service, BackEnd: run.BackEnd, Version: run.Version, Began: now - clock.Ms(run.BeganMs), Ended: now - clock.Ms(run.EndedMs),
 		})
 		more = more || grew
@@ -118,15 +109,15 @@
 			more = true
 		}
 	}
+	if more && !before && r.until <= now {
+		c.convict(now, r)
+	}
 	after := r.quarantined(now)
-	switch {
-	case after && !before:
-		news.Convicted = append(news.Convicted, mark)
-	case before && !after:
-		news.Released = append(news.Released, mark)
+	if after != before {
+		change.Judged = append(change.Judged, mark)
 	}
 	if more || after != before {
-		news.Tell = append(news.Tell, mark)
+		change.Tell = append(change.Tell, mark)
 	}
 }
 
