A node that was suspended knows how long: ages, deadlines and budgets are counted on a clock that goes on meanwhile

Cause: the node's clock, the rests of connections, the ages of frames and the clock of stiletraild's engine were monotonic time, which leaves out the time for which a machine is suspended. After 8 s the copy of the store passed for 1 ms old, a watch whose connection had gone silent was waited for, and a request 3 s past its deadline was not answered. Change: clock.Clock adds what CLOCK_BOOTTIME counts beyond CLOCK_MONOTONIC; gateway, transport, exchange and node use it. A suspension is noticed within 0.2 s and wakes all that wait on timers; back ends are told what is left on that clock. A line 'suspended' tells it.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -73,6 +73,7 @@
 	EventStoreRegained  = "store_regained"
 	EventCopyStale      = "copy_stale"
 	EventCopyFresh      = "copy_fresh"
+	EventSuspended      = "suspended"
 	requestsPerSecond   = 200
 	ordinarySampleEvery = 20
 )
@@ -272,6 +273,11 @@
 // CopyFresh implements gateway.Journal.
 func (l *Log) CopyFresh() { l.log.WithField(fieldEvent, EventCopyFresh).Info(EventCopyFresh) }
 
+// Suspended implements gateway.Journal.
+func (l *Log) Suspended(length clock.Ms) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventSuspended, fieldAge: length}).Warn(EventSuspended)
+}
+
 // Members implements gateway.Journal.
 func (l *Log) Members(alive int) {
 	l.log.WithFields(logrus.Fields{fieldEvent: EventMembers, "alive": alive}).Info(EventMembers)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -98,8 +98,8 @@
 	reader  *bufio.Reader
 	counted *countingWriter
 	writer  *bufio.Writer
-	// idleSince and idleFor bound how long it may rest, as the back end said.
-	idleSince time.Time
+	// idleSince, on the pool's clock, and idleFor bound how long it may rest, as the back end said.
+	idleSince time.Duration
 	idleFor   time.Duration
 	closed    func()
 	// answers that it has carried.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"stiletrail/internal/clock"
 )
 
 // Limits of connections.
@@ -46,6 +48,8 @@
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
+	// clock counts how long connections rest, also while the machine is suspended: back ends close them meanwhile.
+	clock clock.Clock
 	mutex sync.Mutex
 	idle  map[string][]*connection
 	// Opened counts connections opened since the start; Open is how many there are.
@@ -61,7 +65,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*connection{}, proofSlack: defaultProofSlack, provenWithin: defaultProvenWithin}
+	return &Pool{clock: clock.Start(), idle: map[string][]*connection{}, proofSlack: defaultProofSlack, provenWithin: defaultProvenWithin}
 }
 
 // connect takes an idle connection that is still sound, or opens one.
@@ -71,8 +75,8 @@
 		if kept == nil {
 			return p.open(ctx, request)
 		}
-		now := time.Now()
-		if kept.sound(now) && !(request.Once && now.Sub(kept.idleSince) > p.provenWithin) {
+		now := p.clock.Elapsed()
+		if kept.sound(now) && !(request.Once && now-kept.idleSince > p.provenWithin) {
 			return kept, nil
 		}
 		kept.close()
@@ -136,7 +140,7 @@
 
 // put has a connection rest, or closes it where as many rest already as may.
 func (p *Pool) put(request Request, c *connection) {
-	c.idleSince = time.Now()
+	c.idleSince = p.clock.Elapsed()
 	_ = c.socket.SetDeadline(time.Time{})
 	if request.RestFor > 0 {
 		c.idleFor = min(c.idleFor, request.RestFor)
@@ -154,7 +158,7 @@
 
 // Prune closes connections that have rested as long as they may, and all to addresses that are no longer in use.
 func (p *Pool) Prune(inUse func(address string) bool) {
-	now := time.Now()
+	now := p.clock.Elapsed()
 	var stale []*connection
 	p.mutex.Lock()
 	for address, idle := range p.idle {
@@ -179,13 +183,13 @@
 	}
 }
 
-func (c *connection) rested(now time.Time) bool {
-	return now.Sub(c.idleSince) >= c.idleFor
+func (c *connection) rested(now time.Duration) bool {
+	return now-c.idleSince >= c.idleFor
 }
 
 // sound reports whether a connection may carry another request: it has not rested too long, the back end has not closed it,
 // and no byte came that belongs to no request.
-func (c *connection) sound(now time.Time) bool {
+func (c *connection) sound(now time.Duration) bool {
 	if c.rested(now) {
 		return false
 	}
--- /dev/null
+++ b/internal/exchange/suspended_test.go
@@ -0,0 +1,36 @@
+package exchange_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"stiletrail/internal/clock"
+	"stiletrail/internal/exchange"
+)
+
+// TestConnectionOfASuspendedMachine: a connection that has just carried an answer by the monotonic clock, and has rested while the machine was suspended, is not used for a
+// request that cannot be sent again.
+func TestConnectionOfASuspendedMachine(t *testing.T) {
+	var behind atomic.Int64
+	defer clock.Replace(func() time.Duration { return time.Duration(behind.Load()) })()
+	s := serve(t, func(socket net.Conn, _ int64) bool {
+		respond(socket, "")
+		return true
+	})
+	pool := exchange.NewPool()
+	pool.SetProvenWithin(time.Hour)
+	r := request(s.address())
+	r.Once, r.Resting = true, 1
+	for _, suspended := range []time.Duration{0, 0, 2 * time.Hour} {
+		behind.Add(int64(suspended))
+		if result := pool.Do(context.Background(), r); result.Stage != exchange.Answered {
+			t.Fatalf("%+v", result)
+		}
+	}
+	if opened := pool.Opened.Load(); opened != 2 {
+		t.Errorf("%d connections were opened for three requests, the last one after a suspension", opened)
+	}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -243,6 +243,7 @@
 func (silentJournal) StoreLost(follow.Trouble, *failure.Failure, time.Duration) {}
 func (silentJournal) StoreAnswered(time.Duration)                               {}
 func (silentJournal) CopyStale(clock.Ms)                                        {}
+func (silentJournal) Suspended(clock.Ms)                                        {}
 func (silentJournal) CopyFresh()                                                {}
 func (silentJournal) Members(int)                                               {}
 func (silentJournal) Learned(string, int, uint64)                               {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"stiletrail/internal/admit"
+	"stiletrail/internal/clock"
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
 	"stiletrail/internal/limit"
@@ -44,8 +45,9 @@
 	Attempt *forward.Attempt
 	// Entry of the back end, as it was when the attempt was decided.
 	Entry replica.Entry
-	// Deadline is when the work is of no more use. What is left of it is told at the moment of the write.
+	// Deadline is when the work is of no more use, unless the machine is suspended before; Left is what is left of it at the moment of a call.
 	Deadline time.Time
+	Left     func() time.Duration
 	// Prove has a new connection prove first that the back end takes it.
 	Prove bool
 	// Once: the request cannot be sent again if its connection carries no answer.
@@ -110,7 +112,7 @@
 	backEnds BackEnds
 	store    Store
 	journal  Journal
-	started  time.Time
+	clock    clock.Clock
 	table    atomic.Pointer[routing.Table]
 	underWay atomic.Int64
 	leaving  atomic.Bool
@@ -123,6 +125,8 @@
 	// givenUp is closed when all requests under way are to be answered at once.
 	givenUp    chan struct{}
 	giveUpOnce sync.Once
+	// wakes tells those that wait of a suspension of the machine that has just been noticed.
+	wakes wakes
 	// starved is signalled when a request was refused for want of known back ends: the next reading of the store is due soon.
 	starved chan struct{}
 
@@ -158,7 +162,7 @@
 func New(settings Settings, backEnds BackEnds, store Store, journal Journal) *Gateway {
 	random := rand.New(rand.NewPCG(settings.Seed, settings.Seed))
 	g := &Gateway{
-		backEnds: backEnds, store: store, journal: journal, started: time.Now(), givenUp: make(chan struct{}),
+		backEnds: backEnds, store: store, journal: journal, clock: clock.Start(), givenUp: make(chan struct{}),
 		firstListing: make(chan struct{}),
 		starved:      make(chan struct{}, 1),
 		replicas:     replica.NewSet(settings.Replica, settings.Places, random),
@@ -184,10 +188,10 @@
 	g.shareOut()
 }
 
-// now is the time since the start, on the monotonic clock.
-func (g *Gateway) now() time.Duration { return time.Since(g.started) }
+// now is the time since the start, suspensions of the machine included.
+func (g *Gateway) now() time.Duration { return g.clock.Elapsed() }
 
-func (g *Gateway) at(moment time.Duration) time.Time { return g.started.Add(moment) }
+func (g *Gateway) at(moment time.Duration) time.Time { return g.clock.Time(moment) }
 
 // Ready reports whether the node should get requests: it has a configuration and back ends, and is not leaving.
 func (g *Gateway) Ready() bool {
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -34,6 +34,8 @@
 	// CopyStale: nothing has confirmed the copy of the store for that long; CopyFresh: it is complete again.
 	CopyStale(age clock.Ms)
 	CopyFresh()
+	// Suspended: the machine was suspended for that long.
+	Suspended(length clock.Ms)
 	Members(alive int)
 	// Learned: a peer told what the store had not.
 	Learned(from string, records int, revision uint64)
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -102,12 +102,15 @@
 		return func() bool { return false }
 	}
 	over, result := make(chan struct{}), make(chan bool, 1)
+	woke := g.wakes.next()
 	go func() {
 		for left := g.staleIn(); left > 0; left = g.staleIn() {
 			select {
 			case <-over:
 				result <- false
 				return
+			case <-woke:
+				woke = g.wakes.next()
 			case <-time.After(left.Duration()):
 			}
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -127,11 +127,13 @@
 
 // run drives one forward.Request.
 type run struct {
-	gateway  *Gateway
-	call     *Call
-	route    *routing.Route
-	arrived  time.Duration
-	request  *forward.Request
+	gateway *Gateway
+	call    *Call
+	route   *routing.Route
+	arrived time.Duration
+	request *forward.Request
+	// due is the moment of its deadline on the node's clock.
+	due      time.Duration
 	deadline time.Time
 	outcomes chan ended
 	// over is closed when nobody takes outcomes any more.
@@ -163,9 +165,13 @@
 	r.start()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	woke := r.gateway.wakes.next()
 	for r.answer == nil && !r.gone {
 		timer.Reset(max(0, r.nextWake()))
 		select {
+		case <-woke:
+			woke = r.gateway.wakes.next()
+			r.step(r.request.Tick)
 		case end := <-r.outcomes:
 			r.step(func(now time.Duration) []forward.Action { return r.request.Receive(now, end.attempt, end.outcome) })
 		case <-timer.C:
@@ -207,11 +213,11 @@
 		g.budget(parameters.Service).Request(now, 1)
 	}
 	if !r.call.Deadline.IsZero() {
-		parameters.Deadline = r.call.Deadline.Sub(g.started)
+		parameters.Deadline = g.clock.Moment(r.call.Deadline)
 	}
 	request, actions := forward.Start(now, parameters, g.settings.Load().Forward, world{g, now, r.call})
 	r.request = request
-	r.deadline = g.at(request.Deadline())
+	r.due, r.deadline = request.Deadline(), g.at(request.Deadline())
 	r.carryOut(now, actions)
 }
 
@@ -243,7 +249,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancels[attempt] = cancel
 	send := Send{
-		Call: r.call, Attempt: attempt, Entry: attempt.Replica.Entry, Deadline: r.deadline,
+		Call: r.call, Attempt: attempt, Entry: attempt.Replica.Entry, Deadline: r.deadline, Left: r.left,
 		Once: !r.route.Repeatable, Rest: r.gateway.replicas.Rest(attempt.Replica), Prove: r.gateway.replicas.Crowded(now, attempt.Replica),
 	}
 	go func() {
@@ -258,6 +264,9 @@
 	}()
 }
 
+// left is how much time the request has.
+func (r *run) left() time.Duration { return r.due - r.gateway.now() }
+
 // exchange carries an attempt out. A fault of ours ends the attempt, which may have run, and not the process.
 func (g *Gateway) exchange(ctx context.Context, send Send) (outcome forward.Outcome) {
 	defer func() {
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -307,6 +307,9 @@
 func (g *Gateway) maintain(ctx context.Context) {
 	for round := 1; ctx.Err() == nil; round++ {
 		pause(ctx, expireInterval)
+		if length := g.wakes.look(g.clock.Suspended()); length > 0 {
+			g.journal.Suspended(length)
+		}
 		g.mutex.Lock()
 		g.noteAge(g.now())
 		for _, id := range g.replicas.Expire(g.now()) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"stiletrail/internal/backend"
+	"stiletrail/internal/clock"
 	"stiletrail/internal/engine"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/message"
@@ -56,13 +57,14 @@
 	transport *transport.Transport
 	http      *http.Server
 	listener  net.Listener
-	startedAt time.Time
-	ctx       context.Context
-	stop      context.CancelFunc
-	tasks     sync.WaitGroup
-	wake      chan struct{}
-	metrics   *metrics
-	watching  atomic.Bool
+	// clock goes on while the machine is suspended: what is leased or due counts on it.
+	clock    clock.Clock
+	ctx      context.Context
+	stop     context.CancelFunc
+	tasks    sync.WaitGroup
+	wake     chan struct{}
+	metrics  *metrics
+	watching atomic.Bool
 
 	mutex  sync.Mutex
 	engine *engine.Engine
@@ -88,7 +90,7 @@
 		return nil, failure.Wrap(err, failure.SettingsInvalid, "the http address cannot be listened on")
 	}
 	n := &Node{
-		options: options, transport: peers, listener: listener, startedAt: time.Now(), wake: make(chan struct{}, 1),
+		options: options, transport: peers, listener: listener, clock: clock.Start(), wake: make(chan struct{}, 1),
 		searches: map[engine.Caller]chan engine.SearchAnswer{}, executes: map[engine.Caller]chan engine.ExecuteAnswer{},
 		confirms: map[engine.Caller]chan engine.ConfirmAnswer{}, statuses: map[engine.Caller]chan engine.StatusAnswer{},
 	}
@@ -115,7 +117,7 @@
 	return engine.Identity{
 		Address: n.transport.Address(), Zone: n.options.Settings.Zone, Region: n.options.Settings.Region,
 		Generation: binary.BigEndian.Uint64(drawn[:8]), TicketKey: drawn[8:],
-		Incarnation: uint64(n.startedAt.UnixMilli()), Seeds: n.options.Settings.Seeds,
+		Incarnation: uint64(time.Now().UnixMilli()), Seeds: n.options.Settings.Seeds,
 	}
 }
 
@@ -164,7 +166,7 @@
 	if n.ctx.Err() != nil {
 		return
 	}
-	n.perform(call(time.Since(n.startedAt)))
+	n.perform(call(n.clock.Elapsed()))
 	if n.engine.NextWake() < n.wakeAt {
 		select {
 		case n.wake <- struct{}{}:
@@ -210,7 +212,7 @@
 }
 
 func (n *Node) startAttempt(attempt query.Attempt) {
-	remaining := attempt.Deadline - time.Since(n.startedAt)
+	remaining := attempt.Deadline - n.clock.Elapsed()
 	ctx := n.options.BackEnds.Begin(n.ctx, attempt.Number, remaining)
 	n.tasks.Go(func() {
 		result := n.options.BackEnds.Run(ctx, attempt)
@@ -269,7 +271,7 @@
 		n.mutex.Lock()
 		n.wakeAt = n.engine.NextWake()
 		n.mutex.Unlock()
-		timer.Reset(max(n.wakeAt-time.Since(n.startedAt), 0))
+		timer.Reset(max(n.wakeAt-n.clock.Elapsed(), 0))
 	}
 }
 
@@ -289,7 +291,7 @@
 	const poll = 10 * time.Millisecond
 	for {
 		drained := false
-		n.Inspect(func(e *engine.Engine) { drained = e.Drained(time.Since(n.startedAt)) })
+		n.Inspect(func(e *engine.Engine) { drained = e.Drained(n.clock.Elapsed()) })
 		if drained {
 			return true
 		}
--- a/internal/transport/line.go
+++ b/internal/transport/line.go
@@ -13,7 +13,8 @@
 // queued is a message that waits to be written.
 type queued struct {
 	message message.Message
-	at      time.Time
+	// at is when it was queued, on the transport's clock.
+	at time.Duration
 }
 
 // line is one outgoing connection to a peer.
@@ -209,8 +210,9 @@
 // encode writes one frame into the buffer and returns its size, 0 for one that is not sent. A sub-query whose time ran out while it was queued, as
 // in a process that was frozen, is not written any more.
 func (l *line) encode(writer *bufio.Writer, item queued) int {
+	elapsed := l.transport.clock.Elapsed() - item.at
 	if sub, ok := item.message.(*message.SubQuery); ok {
-		waited := uint64(time.Since(item.at).Microseconds())
+		waited := uint64(elapsed.Microseconds())
 		if waited >= sub.RemainingMicroseconds {
 			l.transport.undelivered(l.key.to, item.message, false)
 			return 0
@@ -220,7 +222,7 @@
 		item.message = &shortened
 	}
 	if aged, ok := item.message.(message.Aged); ok {
-		item.message = aged.WithAge(clock.Of(time.Since(item.at)))
+		item.message = aged.WithAge(clock.Of(elapsed))
 	}
 	frame := message.Encode(item.message)
 	if len(frame) > message.MaximumPayload {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/message"
 )
@@ -110,6 +111,7 @@
 // Transport is a node's listener and its connections to peers.
 type Transport struct {
 	address  string
+	clock    clock.Clock
 	sizes    Sizes
 	network  Network
 	listener net.Listener
@@ -148,7 +150,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Transport{
-		address: advertised, sizes: sizes, network: network, listener: listener, incoming: make(chan struct{}, maximumIncoming),
+		address: advertised, clock: clock.Start(), sizes: sizes, network: network, listener: listener, incoming: make(chan struct{}, maximumIncoming),
 		ctx: ctx, stop: stop, lines: map[lineKey]*line{},
 	}, nil
 }
@@ -262,7 +264,7 @@
 		t.tasks.Go(l.run)
 	}
 	select {
-	case l.queue <- queued{message: m, at: time.Now()}:
+	case l.queue <- queued{message: m, at: t.clock.Elapsed()}:
 	default:
 		t.undelivered(to, m, false)
 	}
