Proofs for requests that end back ends: unit tests, properties, guards; an old quarantine does not outlive an answer

Found by the property test: a node that had seen an answer put the request under quarantine again by what another one told it that had not heard of the answer. A quarantine says now when it began.

--- a/internal/gateway/crashing_test.go
+++ b/internal/gateway/crashing_test.go
@@ -135,7 +135,7 @@
 	f.mu.Lock()
 	f.lives++
 	b := &frailBackEnd{ended: make(chan struct{}), entry: replica.Entry{
-		ID: fmt.Sprint("life-", f.lives), Service: service, Address: fmt.Sprint("127.0.0.1:", f.lives), Zone: zone, Slots: 5,
+		ID: fmt.Sprint("life-", f.lives), Service: service, Address: fmt.Sprint("127.0.0.1:", f.lives), Zone: zone, Slots: 5, Version: f.version,
 	}}
 	f.backEnds[b.entry.ID] = b
 	f.mu.Unlock()
@@ -455,6 +455,48 @@
 	}
 }
 
+// TestNewVersionIsTriedOnce: a request under quarantine reaches one back end of a new version of the software, of all nodes together; if that answers it, all nodes serve
+// it by that version, and the old one does not get it.
+func TestNewVersionIsTriedOnce(t *testing.T) {
+	for name, runs := range map[string]bool{"ends it too": false, "runs it": true} {
+		t.Run(name, func(t *testing.T) {
+			playFrail(t, 3, func(f *frailFleet) {
+				const path = "/all/!"
+				for number := 0; f.ask(number%frailNodes, path).Reason != forward.Quarantined; number++ {
+					time.Sleep(crashingEvery)
+				}
+				time.Sleep(5 * time.Second)
+				f.mu.Lock()
+				f.version, f.reached = "v2", nil
+				f.crashes = func(send gateway.Send) bool { return crashing(send.Call.Path) && !(runs && send.Entry.Version == "v2") }
+				f.mu.Unlock()
+				for shard := range frailShards {
+					f.begin(frailShard(shard), frailZone(shard))
+				}
+				time.Sleep(3 * time.Second)
+				var callers sync.WaitGroup
+				for number := range frailNodes {
+					callers.Go(func() { f.ask(number, path) })
+				}
+				callers.Wait()
+				time.Sleep(time.Second)
+				served := 0
+				for number := range frailNodes {
+					if f.ask(number, path).Failure == nil {
+						served++
+					}
+				}
+				if most := 1; len(f.reached) > most || runs && len(f.reached) > 0 {
+					t.Errorf("%d back ends that end by it were reached", len(f.reached))
+				}
+				if want := frailNodes; runs && served < want || !runs && served > 0 {
+					t.Errorf("served %d times of %d", served, want)
+				}
+			})
+		})
+	}
+}
+
 // TestBackEndsThatEndByThemselves: all back ends of a zone end at once, one zone after the other, while popular requests are under way at each, always the
 // same ones: all of them are served, and so are all other searches. Nobody who was there when a back end ended is to blame for it.
 func TestBackEndsThatEndByThemselves(t *testing.T) {
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -66,7 +66,7 @@
 		s.backEnds.set(after(time.Hour))
 		var over atomic.Bool
 		go func() {
-			s.gateway.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/all/x", Deadline: time.Now().Add(2 * time.Second)})
+			s.gateway.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/one/x", Deadline: time.Now().Add(2 * time.Second)})
 			over.Store(true)
 		}()
 		time.Sleep(50 * time.Millisecond)
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -35,7 +35,7 @@
 		&StoreRecords{Since: 1, Revision: 3, Whole: true, Records: []StoreRecord{{Key: "k", Revision: 2, Gone: true, Value: []byte("v")}}},
 		&Evidence{Requests: []RequestEvidence{{
 			Mark: [16]byte{1, 15: 2}, Wide: true, Runs: []EndedRun{{Service: "s", BackEnd: "b", Version: "v", BeganMs: 3, EndedMs: 4}}, Answered: true, AnsweredMs: 5,
-			QuarantinedMs: 6, Versions: []string{"v"}, Sound: []string{"w"}, Askers: [][16]byte{{3}},
+			QuarantinedMs: 6, HeldMs: 7, Versions: []string{"v"}, Sound: []string{"w"}, Askers: [][16]byte{{3}},
 		}}},
 	}
 }
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, m := range append(slices.Clone(mutations), gatewayMutations...) {
+	for _, m := range slices.Concat(mutations, gatewayMutations, quarantineMutations) {
 		t.Run(strings.ReplaceAll(m.name, " ", "-"), func(t *testing.T) {
 			prove(t, root, m)
 		})
--- /dev/null
+++ b/internal/mutation/quarantine_test.go
@@ -0,0 +1,97 @@
+//go:build prove
+
+package mutation
+
+// quarantineMutations take out guards against requests that end back ends, and against clocks that stand still.
+var quarantineMutations = []mutation{
+	{
+		"the end of a back end is not told from the end of a connection", "platform/backend.go",
+		"outcome.Kind == forward.Lost && ended(result.Err) && ctx.Err() == nil", "false",
+		"./platform", "TestQuarantine",
+	},
+	{
+		"a connection that was reset is taken for the end of a back end", "platform/backend.go",
+		"outcome.BackEndEnded = b.pool.Ended(ctx, send.Entry.Address, connectTimeout, outcome.TurnedAway)", "outcome.BackEndEnded = true",
+		"./platform", "TestEndOfABackEndIsTold",
+	},
+	{
+		"runs at the same time count one by one", "internal/quarantine/quarantine.go",
+		"(length == 0 || run.Began >= last)", "(last >= 0)",
+		"./internal/quarantine", "TestRounds",
+	},
+	{
+		"an answer does not acquit", "internal/quarantine/quarantine.go",
+		"	r.until, r.stored = 0, false\n	if len", "	if len",
+		"./internal/quarantine", "TestAnswerAcquits",
+	},
+	{
+		"what others tell of a quarantine that an answer has ended counts", "internal/quarantine/tell.go",
+		"until > r.until+sameMoment && !over", "until > r.until+sameMoment && (!over || until > 0)",
+		"./internal/quarantine", "TestToldByOthers",
+	},
+	{
+		"back ends that end by themselves raise no doubt", "internal/quarantine/quarantine.go",
+		"return min(others/endsPerRound, mostDoubt)", "return 0",
+		"./internal/quarantine", "TestOthersEndToo",
+	},
+	{
+		"a caller is put under quarantine", "internal/quarantine/quarantine.go",
+		"c.settings.Rounds == 0 || r.wide ||", "c.settings.Rounds == 0 ||",
+		"./internal/quarantine", "TestWideMarks",
+	},
+	{
+		"what is remembered of requests has no bound", "internal/quarantine/quarantine.go",
+		"if len(c.records) >= mostRecords {", "if false {",
+		"./internal/quarantine", "TestBounded",
+	},
+	{
+		"a question is known by its caller's address alone", "internal/quarantine/mark.go",
+		"Question: MarkOf([]byte(question), where, details)", "Question: MarkOf([]byte(question), []byte(who), where, details)",
+		"./internal/gateway", "TestRequestThatComesInAnotherGuise",
+	},
+	{
+		"attempts go on after two back ends have ended", "internal/forward/caution.go",
+		"if r.caution.suspect || r.caution.ends >= endsToWithdraw {", "if r.caution.suspect {",
+		"./internal/forward", "TestTwoEndsWithdrawTheOthers",
+	},
+	{
+		"a request under quarantine goes on at other back ends", "internal/forward/caution.go",
+		"	if verdict == quarantine.Quarantined {\n", "	if verdict == quarantine.Quarantined && now < 0 {\n",
+		"./internal/gateway", "TestRequestThatComesInAnotherGuise",
+	},
+	{
+		"a suspected request goes to all shards at once", "internal/forward/forward.go",
+		"r.caution.suspect = world.Verdict() != quarantine.Clear; r.caution.suspect", "r.caution.suspect = world.Verdict() != quarantine.Clear; false",
+		"./internal/forward", "TestSuspectIsTried",
+	},
+	{
+		"a retrial reaches several back ends", "internal/forward/caution.go",
+		"return r.caution.retrial && outcome.Kind != NotSent", "return false",
+		"./internal/forward", "TestRetrialReachesOneBackEnd",
+	},
+	{
+		"nodes do not tell each other of requests that end back ends", "internal/gateway/quarantine.go",
+		"if g.members == nil || len(marks) == 0 || !g.keeping.mayTell(now) {", "if true {",
+		"./internal/gateway", "TestRequestThatEndsBackEnds",
+	},
+	{
+		"a quarantine is not kept in the store", "internal/gateway/store.go",
+		"	go g.keepQuarantines(ctx)\n", "",
+		"./platform", "TestQuarantine",
+	},
+	{
+		"a new version is tried by every node", "internal/gateway/keeping.go",
+		"	return won\n", "	return true\n",
+		"./internal/gateway", "TestNewVersionIsTriedOnce",
+	},
+	{
+		"a clock stands still while the machine is suspended", "internal/clock/clock.go",
+		"return time.Since(c.started) + c.Suspended()", "return time.Since(c.started)",
+		"./internal/gateway", "TestCopyOfASuspendedNode",
+	},
+	{
+		"nobody is woken after a suspension", "internal/gateway/wakes.go",
+		"		close(w.woke)\n", "",
+		"./internal/gateway", "TestRequestOfASuspendedNode",
+	},
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -77,7 +77,9 @@
 	// answeredAt is when a back end last answered the request, where answered.
 	answered   bool
 	answeredAt clock.Ms
-	// until is the end of the quarantine, by this node's own account or another node's; stored: the store says that it is under quarantine.
+	// heldAt and until are the beginning and the end of the quarantine, by this node's own account or another node's; stored: the store says that it is
+	// under quarantine.
+	heldAt   clock.Ms
 	until    clock.Ms
 	stored   bool
 	storedAt clock.Ms
@@ -207,7 +209,7 @@
 	if c.settings.Rounds == 0 || r.wide || r.rounds() < c.settings.Rounds+c.doubt(now, r) {
 		return false
 	}
-	r.until = now + c.settings.For
+	r.heldAt, r.until = now, now+c.settings.For
 	return true
 }
 
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -56,6 +56,9 @@
 	for _, asker := range r.askers {
 		told.Askers = append(told.Askers, asker)
 	}
+	if told.QuarantinedMs > 0 {
+		told.HeldMs = age(now - r.heldAt)
+	}
 	if r.answered {
 		told.AnsweredMs = age(now - r.answeredAt)
 	}
@@ -89,7 +92,7 @@
 	if answeredAt := now - clock.Ms(told.AnsweredMs); told.Answered && (!r.answered || answeredAt > r.answeredAt+sameMoment) {
 		more = r.rounds() > 0 || before
 		r.answered, r.answeredAt = true, answeredAt
-		if lastEnded(r.runs) <= answeredAt && told.QuarantinedMs == 0 {
+		if r.heldAt <= answeredAt {
 			r.until, r.stored = 0, false
 		}
 	}
@@ -105,9 +108,12 @@
 	for _, version := range told.Versions {
 		r.versions = appendNew(r.versions, version, mostVersions)
 	}
-	if until := now + clock.Ms(min(told.QuarantinedMs, uint32(longestAge))); told.QuarantinedMs > 0 && until > r.until+sameMoment {
+	heldAt, until := now-clock.Ms(told.HeldMs), now+clock.Ms(min(told.QuarantinedMs, uint32(longestAge)))
+	// An answer after the beginning has ended it, whoever has not heard of that yet.
+	over := r.answered && r.answeredAt >= heldAt
+	if told.QuarantinedMs > 0 && until > r.until+sameMoment && !over {
 		more = more || r.until <= now
-		r.until = until
+		r.heldAt, r.until = heldAt, until
 	}
 	for _, version := range told.Sound {
 		if !slices.Contains(r.sound, version) {
