--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -183,6 +183,8 @@
 	Holding    Holding
 	HasHolding bool
 	RetryAfter time.Duration
+	// BackEndEnded: the back end itself ended, and not just the connection: it takes no connections any more.
+	BackEndEnded bool
 }
 
 // Checksum is the checksum a back end states with its answer: xxhash64 over shard numbers, keys and bodies in
