The dispatcher of stiletraild tells queries that end back ends apart, tries them one attempt at a time, and refuses them

Change: the core of package quarantine by dispatcher; an end is told from a broken connection by asking for another one. Shards wait for an answer to another one; with two ends and no answer the other attempts are withdrawn; then one attempt at a time, and after three rounds the query is refused as not run. Left: dispatchers do not tell each other, and one that starts anew knows nothing: each owner of a group learns for itself.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -7,11 +7,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -120,7 +122,8 @@
 		if !written.Load() {
 			status = query.StatusNotSent
 		}
-		return query.AttemptResult{Attempt: attempt.Number, Status: status}
+		ended := status == query.StatusLost && ctx.Err() == nil && refuses(ctx, attempt.BackEnd)
+		return query.AttemptResult{Attempt: attempt.Number, Status: status, BackEndEnded: ended}
 	}
 	result := check(attempt, response.Msg)
 	if held := connection.Load(); result.Status == query.StatusInvalid && held != nil {
@@ -130,6 +133,17 @@
 	return result
 }
 
+// refuses reports whether nobody takes connections at an address any more, as after the end of a process.
+func refuses(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = connection.Close()
+	return false
+}
+
 // check verifies that an answer is whole and is to this attempt.
 func check(attempt query.Attempt, response *stiletrailv1.QueryResponse) query.AttemptResult {
 	result := query.AttemptResult{
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,11 +12,14 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/limit"
 	"stiletrail/internal/message"
 	"stiletrail/internal/placement"
+	"stiletrail/internal/quarantine"
 	"stiletrail/internal/query"
 )
 
@@ -60,7 +63,10 @@
 	Ejections      uint64
 	ShedByBackEnd  uint64
 	ExpiredInQueue uint64
-	Replayed       uint64
+	// EndedBackEnds counts attempts whose back end ended, Quarantined the sub-queries that were given up or refused for ending them.
+	EndedBackEnds uint64
+	Quarantined   uint64
+	Replayed      uint64
 }
 
 type group struct {
@@ -124,6 +130,7 @@
 	shardAttempts uint32
 	retryAfter    time.Duration
 	finished      bool
+	caution       caution
 }
 
 // Core is the dispatcher of one node.
@@ -141,6 +148,8 @@
 	machines   map[string]bool
 	// refusals keeps when a back end whose health lies refused work as leaving, also while its group is not owned.
 	refusals map[string]time.Duration
+	// quarantine knows the queries that have ended back ends.
+	quarantine *quarantine.Core
 	// Counters may be read by the driver.
 	Counters Counters
 }
@@ -151,6 +160,7 @@
 		settings: settings, generation: generation, random: random,
 		groups: map[groupKey]*group{}, works: map[query.ID]*work{}, attempts: map[uint64]*attempt{},
 		roots: map[uint64]*replayWindow{}, machines: map[string]bool{}, refusals: map[string]time.Duration{},
+		quarantine: quarantine.New(settings.Quarantine),
 	}
 }
 
@@ -188,6 +198,12 @@
 	for _, shard := range request.Shards {
 		w.shards[shard] = &shardState{}
 	}
+	verdict := c.quarantine.Verdict(clock.Of(now), identityOf(request))
+	if verdict == quarantine.Quarantined {
+		c.Counters.Quarantined++
+		c.refuse(root, request, query.ReasonLost, c.quarantine.Left(clock.Of(now), identityOf(request)).Duration())
+		return c.take()
+	}
 	wait, admitted := c.admit(now, w)
 	if !admitted {
 		c.refuse(root, request, query.ReasonOverloaded, wait)
@@ -197,7 +213,12 @@
 	c.schedule(timer{at: w.deadline, work: w})
 	g.hedges.Earn(len(request.Shards))
 	g.retries.Earn(len(request.Shards))
-	c.place(now, w, request.Shards, false, query.ReasonNoReplica)
+	if verdict == quarantine.Suspect {
+		w.caution = caution{suspect: true, held: slices.Clone(request.Shards)}
+		c.goOn(now, w)
+	} else {
+		c.place(now, w, request.Shards, false, query.ReasonNoReplica)
+	}
 	c.finishIfDone(now, w)
 	return c.take()
 }
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/message"
 	"stiletrail/internal/query"
 )
@@ -73,7 +74,10 @@
 	}
 	c.release(a.work, a.shards)
 	c.judge(now, a, status, result)
-	if !a.work.finished {
+	switch {
+	case status == query.StatusLost && result.BackEndEnded:
+		c.backEndEnded(now, a)
+	case !a.work.finished:
 		c.advance(now, a, status, result)
 	}
 	if a.backEnd.draining != 0 {
@@ -116,6 +120,7 @@
 	case query.StatusOK:
 		a.group.latencies.Record(elapsed)
 		b.succeeded(now, elapsed)
+		c.quarantine.Answered(clock.Of(now), identityOf(a.work.request), a.work.request.Service, "")
 	case query.StatusShed:
 		c.Counters.ShedByBackEnd++
 		if c.settings.Windows {
@@ -287,6 +292,7 @@
 
 // finishIfDone closes a sub-query of which every shard is answered or missing.
 func (c *Core) finishIfDone(now time.Duration, w *work) {
+	c.goOn(now, w)
 	if w.finished {
 		return
 	}
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"stiletrail/internal/clock"
+	"stiletrail/internal/quarantine"
+)
 
 // Settings of the dispatcher.
 type Settings struct {
@@ -35,6 +40,8 @@
 	MaximumEjectedShare float64
 	// DescribeInterval is the time between two probes of an idle back end.
 	DescribeInterval time.Duration
+	// Quarantine of queries that end back ends.
+	Quarantine quarantine.Settings
 }
 
 // DefaultSettings gives the settings used where nothing else is said.
@@ -58,6 +65,7 @@
 		MaximumEjection:     10 * time.Second,
 		MaximumEjectedShare: 0.34,
 		DescribeInterval:    500 * time.Millisecond,
+		Quarantine:          quarantine.Settings{Rounds: 3, For: 600 * clock.Second},
 	}
 }
 
