--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -57,65 +57,6 @@
 	ComeBack time.Duration
 }
 
-// Kind of an outcome.
-type Kind int
-
-// The outcomes of an attempt.
-const (
-	// Answered: the back end ran the request and gave a good, whole answer.
-	Answered Kind = iota + 1
-	// Failed: the back end ran the request, or may have, and answered with a failure.
-	Failed
-	// Refused: the back end said that it did not run the request.
-	Refused
-	// Misdirected: the address belongs to another back end, which did not run the request.
-	Misdirected
-	// NotSent: no byte of the request was written.
-	NotSent
-	// Lost: the request may have run; no whole answer came.
-	Lost
-	// Invalid: what came is not an answer to the request.
-	Invalid
-	// Expired: the time was over before the request was written.
-	Expired
-)
-
-// NotRun reports whether the outcome proves that the attempt did not run.
-func (k Kind) NotRun() bool {
-	return k == Refused || k == Misdirected || k == NotSent || k == Expired
-}
-
-// String names the outcome in logs.
-func (k Kind) String() string {
-	names := [...]string{"none", "answered", "failed", "refused", "misdirected", "not_sent", "lost", "invalid", "expired"}
-	return names[k]
-}
-
-// Outcome of an attempt.
-type Outcome struct {
-	Kind Kind
-	// RetryAfter is what a refusal says of when to come back.
-	RetryAfter time.Duration
-	// Response is the back end's answer, with Answered and Failed.
-	Response *Response
-	// TurnedAway: the back end ended a connection that had carried no answer yet, as it does with those over its limit.
-	TurnedAway bool
-	// BackEndEnded: the back end itself ended, and not just the connection: it takes no connections any more.
-	BackEndEnded bool
-	// Detail says what happened, for logs.
-	Detail string
-}
-
-// Response is an answer of a back end.
-type Response struct {
-	Status int
-	Body   []byte
-	// Signature proves who answered; a part without one does not count.
-	Signature string
-	// Transport is the answer as the adapter holds it, passed back untouched.
-	Transport any
-}
-
 // Attempt is one request to one back end.
 type Attempt struct {
 	// Number counts the attempts of a request from 0.
--- a/internal/gateway/keeping.go
+++ b/internal/gateway/keeping.go
@@ -42,8 +42,9 @@
 	// told messages in the second that began at second.
 	second clock.Ms
 	told   int
-	// accountAt is when the next full account is due.
-	accountAt clock.Ms
+	// accountedAt is when the last full account was given, changedAt when there was news last.
+	accountedAt clock.Ms
+	changedAt   clock.Ms
 }
 
 func newKeeping(random *rand.Rand) keeping {
@@ -86,12 +87,16 @@
 	return k.told <= evidenceRate
 }
 
-// accountDue reports whether another full account is due, and sets the next one.
+// accountDue reports whether another full account is due, and notes that it is given.
 func (k *keeping) accountDue(now clock.Ms) bool {
-	if now < k.accountAt {
+	pause := evidenceEvery
+	if now-k.changedAt > evidenceNews {
+		pause = evidenceQuiet
+	}
+	if now-k.accountedAt < pause {
 		return false
 	}
-	k.accountAt = now + evidenceEvery
+	k.accountedAt = now
 	return true
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -19,8 +19,12 @@
 const (
 	evidenceNear   = 3
 	evidenceFanout = evidenceNear + 1
-	// evidenceEvery is the pause between full accounts to a random node, for what single messages have missed. Nothing is sent where there is nothing to tell.
+	// evidenceEvery is the pause between full accounts to a random node, for what single messages have missed, while something has changed within
+	// evidenceNews; later evidenceQuiet. An account has up to 10 KB, a third of a kilobyte a second then, of the 7 that a node may spend on control.
+	// Nothing is sent where there is nothing to tell.
 	evidenceEvery = clock.Second
+	evidenceNews  = 10 * clock.Second
+	evidenceQuiet = 30 * clock.Second
 	// evidenceRate bounds the messages that a node begins, a second: back ends that end by themselves take many requests with them.
 	evidenceRate = 50
 )
@@ -39,8 +43,8 @@
 	trialComeBack = 200 * time.Millisecond
 )
 
-// clear decides whether a request may be sent, as far as it has ended back ends: it is refused at once under quarantine, and waits for another call's trial.
-func (g *Gateway) clear(ctx context.Context, call *Call, route *routing.Route, until time.Duration) (allowance, *failure.Failure) {
+// allow decides whether a request may be sent, as far as it has ended back ends: it is refused at once under quarantine, and waits for another call's trial.
+func (g *Gateway) allow(ctx context.Context, call *Call, route *routing.Route, until time.Duration) (allowance, *failure.Failure) {
 	for {
 		known := g.knownOf(call, route)
 		switch {
@@ -198,6 +202,9 @@
 			g.keeping.due(mark, now)
 		}
 	}
+	if len(change.Tell) > 0 {
+		g.keeping.changedAt = now
+	}
 	g.tellEvidence(now, change.Tell...)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -93,7 +93,7 @@
 			Answer: forward.Answer{Failure: refusal, Reason: forward.TurnedAway}, Version: table.Version(), Route: route, Overload: decision.Level,
 		}
 	}
-	allowed, refusal := g.clear(ctx, call, route, until)
+	allowed, refusal := g.allow(ctx, call, route, until)
 	if refusal != nil {
 		return Result{Answer: forward.Answer{Failure: refusal, Reason: forward.Quarantined}, Version: table.Version(), Route: route}
 	}
--- a/internal/mutation/quarantine_test.go
+++ b/internal/mutation/quarantine_test.go
@@ -11,11 +11,11 @@
 	},
 	{
 		"a connection that was reset is taken for the end of a back end", "platform/backend.go",
-		"outcome.BackEndEnded = b.pool.Ended(ctx, send.Entry.Address, connectTimeout, outcome.TurnedAway)", "outcome.BackEndEnded = true",
+		"outcome.BackEndEnded = b.pool.Ended(ctx, send.Entry.Address, endTimeout, outcome.TurnedAway)", "outcome.BackEndEnded = true",
 		"./platform", "TestEndOfABackEndIsTold",
 	},
 	{
-		"runs at the same time count one by one", "internal/quarantine/quarantine.go",
+		"runs at the same time count one by one", "internal/quarantine/record.go",
 		"(length == 0 || run.Began >= last)", "(last >= 0)",
 		"./internal/quarantine", "TestRounds",
 	},
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -66,33 +66,6 @@
 	Ended   clock.Ms
 }
 
-// record is what is known of a request.
-type record struct {
-	mark Mark
-	// wide: it is of a place or a caller, of many different requests, and never put under quarantine.
-	wide bool
-	// runs that ended their back ends, of services that have not answered since; backEnds are those of all runs.
-	runs     []Run
-	backEnds []string
-	// answeredAt is when a back end last answered the request, where answered.
-	answered   bool
-	answeredAt clock.Ms
-	// heldAt and until are the beginning and the end of the quarantine, by this node's own account or another node's; stored: the store says that it is
-	// under quarantine.
-	heldAt   clock.Ms
-	until    clock.Ms
-	stored   bool
-	storedAt clock.Ms
-	// shardsUntil are the ends of the quarantine at single shards.
-	shardsUntil map[string]clock.Ms
-	// versions of software that the request ended, sound ones that have answered it since.
-	versions []string
-	sound    []string
-	// askers are who has asked it round after round: their marks of the question as they ask it. Who was only there once may ask it and be answered.
-	askers  []Mark
-	touched clock.Ms
-}
-
 // Core is what a node knows of requests that have ended back ends. Its times are moments on the node's clock.
 type Core struct {
 	settings Settings
@@ -309,14 +282,6 @@
 	return id.Question, max(0, lastEnded(r.runs)+otherAfter-now), !slices.Contains(r.askers, id.Asked)
 }
 
-func (r *record) addAskers(askers ...Mark) {
-	for _, asker := range askers {
-		if len(r.askers) < mostAskers && !slices.Contains(r.askers, asker) {
-			r.askers = append(r.askers, asker)
-		}
-	}
-}
-
 // Held reports whether what bears a mark is under quarantine, and for how much longer at most.
 func (c *Core) Held(now clock.Ms, mark Mark) (left clock.Ms, held bool) {
 	if r := c.records[mark]; r != nil && r.quarantined(now) {
@@ -364,14 +329,6 @@
 	return created
 }
 
-// less orders records by what is forgotten first.
-func less(now clock.Ms, a, b *record) bool {
-	if a.quarantined(now) != b.quarantined(now) {
-		return !a.quarantined(now)
-	}
-	return a.touched < b.touched
-}
-
 // Forget drops what has not been touched for long.
 func (c *Core) Forget(now clock.Ms) {
 	for mark, r := range c.records {
@@ -380,38 +337,3 @@
 		}
 	}
 }
-
-func (r *record) quarantined(now clock.Ms) bool { return r.stored || now < r.until }
-
-// rounds is the greatest number of runs that followed each other since the request was last answered: each began after the one before had ended.
-// Runs at the same time count once, since whatever ended one back end may have ended the others.
-func (r *record) rounds() int {
-	return chain(r.runs, func(run Run) bool { return !r.answered || run.Ended > r.answeredAt })
-}
-
-// shardRounds are the rounds at one service, which has not answered since.
-func (r *record) shardRounds(service string) int {
-	return chain(r.runs, func(run Run) bool { return run.Service == service })
-}
-
-// chain is the length of the longest sequence of runs that follow each other: of those left, the one that ended first is always part of one.
-func chain(runs []Run, counts func(Run) bool) int {
-	sorted := slices.SortedFunc(slices.Values(runs), func(a, b Run) int { return int(a.Ended - b.Ended) })
-	length := 0
-	var last clock.Ms
-	for _, run := range sorted {
-		if counts(run) && (length == 0 || run.Began >= last) {
-			length++
-			last = run.Ended
-		}
-	}
-	return length
-}
-
-// appendNew appends a value that is not there yet, as long as there are fewer than most.
-func appendNew(values []string, value string, most int) []string {
-	if value == "" || slices.Contains(values, value) || len(values) >= most {
-		return values
-	}
-	return append(values, value)
-}
