--- a/internal/forward/caution.go
+++ b/internal/forward/caution.go
@@ -56,15 +56,13 @@
 	}
 }
 
-// withdrawAll takes back all attempts under way, whose shards are tried again later. They may have run.
+// withdrawAll takes back all attempts under way, whose shards are tried again later. They may have run. Shards that pause go on to.
 func (r *Request) withdrawAll() {
 	r.mayHaveRun = true
 	for i := range r.shards {
 		if s := &r.shards[i]; s.live > 0 {
 			r.cancelShard(i)
 			s.held = true
-		} else if s.waiting || s.paused {
-			s.waiting, s.paused, s.held = false, false, true
 		}
 	}
 }
--- a/internal/forward/caution_test.go
+++ b/internal/forward/caution_test.go
@@ -130,3 +130,27 @@
 		t.Errorf("answered %+v", s.answer)
 	}
 }
+
+// TestPauseOutlastsCaution: a shard that pauses after a failure of its own is not tried again earlier because back ends end at others.
+func TestPauseOutlastsCaution(t *testing.T) {
+	w := newWorld(0, "a", "b", "c", "d")
+	paced := settings
+	paced.Pace = 25 * millisecond
+	s := &scene{t: t}
+	request, actions := forward.Start(0, forward.Parameters{Route: fanOut("a", "b", "c", "d")}, paced, w)
+	s.request = request
+	s.take(actions)
+	s.end(0, ended(forward.Lost))
+	w.budget, w.verdict = 9, quarantine.Suspect
+	s.end(1, gone).end(2, gone).wantSends(5)
+	s.at(5*millisecond).end(4, part("x", ""))
+	for _, attempt := range s.sent[5:] {
+		if attempt.Service == "a" {
+			t.Errorf("%s was sent %v after it failed", attempt.Replica.ID, s.now)
+		}
+	}
+	s.at(25 * millisecond)
+	if last := s.sent[len(s.sent)-1]; last.Service != "a" {
+		t.Errorf("after its pause the last attempt is at %s", last.Service)
+	}
+}
