Quarantine: of a first round others hear only if nobody answers; callers and places are tried with care from two rounds on

Cause: on deployments where back ends end by themselves a caller's next requests were all tried at one back end first, and each such end was told to four nodes, though the request was answered some milliseconds later. Change: as said; and without quarantine there is no caution either.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -53,6 +53,8 @@
 	Pace time.Duration
 	// AnswerMargin is kept before the target latency and the caller's deadline, for the way back to the caller.
 	AnswerMargin time.Duration
+	// Caution has a request under which back ends have ended tried at one at a time, until one answers.
+	Caution bool
 	// ComeBack is when a caller may come back that was refused because too few back ends are known.
 	ComeBack time.Duration
 }
@@ -276,7 +278,7 @@
 		r.world.Ran(attempt)
 		r.release(now)
 		r.noteAnswer(now, attempt)
-	case outcome.BackEndEnded:
+	case outcome.BackEndEnded && r.settings.Caution:
 		s.last = outcome
 		r.backEndEnded(now, attempt)
 	case r.retried(outcome):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -233,7 +233,7 @@
 type world struct {
 	gateway *Gateway
 	now     time.Duration
-	call    *Call
+	run     *run
 }
 
 // Pick implements forward.World.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -141,14 +141,20 @@
 	}
 }
 
-// endTrial has others of the same request go on.
+// endTrial has others of the same request go on, and tells other nodes what none of them has been told of yet.
 func (r *run) endTrial() {
-	if !r.trial {
+	if !r.trial && !r.untold {
 		return
 	}
 	g := r.gateway
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if r.untold {
+		g.tellEvidence(clock.Of(g.now()), r.call.Identity.Question, r.call.Identity.Asked)
+	}
+	if !r.trial {
+		return
+	}
 	if g.trials[r.call.Identity.Question]--; g.trials[r.call.Identity.Question] == 0 {
 		delete(g.trials, r.call.Identity.Question)
 	}
@@ -157,31 +163,37 @@
 // Ended implements forward.World.
 func (w world) Ended(attempt *forward.Attempt) quarantine.Verdict {
 	g, now := w.gateway, clock.Of(w.now)
-	if w.call.Identity == (quarantine.Identity{}) {
+	if w.run.call.Identity == (quarantine.Identity{}) {
 		return quarantine.Clear
 	}
-	verdict, change := g.quarantine.Ended(now, w.call.Identity, quarantine.Run{
+	verdict, change := g.quarantine.Ended(now, w.run.call.Identity, quarantine.Run{
 		Service: attempt.Service, BackEnd: attempt.Replica.ID, Version: attempt.Replica.Version,
 		Began: clock.Of(attempt.StartedAt), Ended: clock.Of(attempt.EndedAt),
 	})
+	if change.First && w.run.route.FansOut() {
+		// Most often another shard answers soon, and nobody need hear of it.
+		w.run.untold = w.run.untold || len(change.Tell) > 0
+		change.Tell = nil
+	}
 	g.changed(now, change, byOwn)
 	return verdict
 }
 
 // Verdict implements forward.World.
 func (w world) Verdict() quarantine.Verdict {
-	return w.gateway.quarantine.Verdict(clock.Of(w.now), w.call.Identity)
+	return w.gateway.quarantine.Verdict(clock.Of(w.now), w.run.call.Identity)
 }
 
 // LeftOut implements forward.World.
 func (w world) LeftOut(service string) bool {
-	return w.gateway.quarantine.LeftOut(clock.Of(w.now), w.call.Identity, service)
+	return w.gateway.quarantine.LeftOut(clock.Of(w.now), w.run.call.Identity, service)
 }
 
 // Ran implements forward.World.
 func (w world) Ran(attempt *forward.Attempt) {
 	g, now := w.gateway, clock.Of(w.now)
-	change := g.quarantine.Answered(now, w.call.Identity, attempt.Service, attempt.Replica.Version)
+	w.run.untold = false
+	change := g.quarantine.Answered(now, w.run.call.Identity, attempt.Service, attempt.Replica.Version)
 	for _, mark := range change.Judged {
 		_, held := g.quarantine.Held(now, mark)
 		g.keeping.again(mark, !held)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -144,6 +144,8 @@
 	// allowed is what the request may be sent to; trial: it is sent to one back end at a time.
 	allowed allowance
 	trial   bool
+	// untold: back ends have ended under it, which other nodes are told of only if nobody answers it.
+	untold bool
 }
 
 // ended is an attempt with its outcome.
@@ -215,7 +217,7 @@
 	if !r.call.Deadline.IsZero() {
 		parameters.Deadline = g.clock.Moment(r.call.Deadline)
 	}
-	request, actions := forward.Start(now, parameters, g.settings.Load().Forward, world{g, now, r.call})
+	request, actions := forward.Start(now, parameters, g.settings.Load().Forward, world{g, now, r})
 	r.request = request
 	r.due, r.deadline = request.Deadline(), g.at(request.Deadline())
 	r.carryOut(now, actions)
@@ -227,7 +229,7 @@
 	defer g.mutex.Unlock()
 	now := g.now()
 	// The request holds the world of its last step; bring it up to date.
-	r.request.At(world{g, now, r.call})
+	r.request.At(world{g, now, r})
 	r.carryOut(now, decide(now))
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -47,7 +47,7 @@
 	waits := WaitsWithin(clock.Of(min(s.LeavingTime, s.ApplyWithin)))
 	return Settings{
 		Forward: forward.Settings{
-			HedgeShare: s.HedgeShare, SiblingHedges: s.SiblingHedges, LastExtras: s.LastExtras, EarlyFinish: s.EarlyFinish, Pace: s.RetryPace, AnswerMargin: answerMargin, ComeBack: s.EntryInterval / 2,
+			HedgeShare: s.HedgeShare, SiblingHedges: s.SiblingHedges, LastExtras: s.LastExtras, EarlyFinish: s.EarlyFinish, Pace: s.RetryPace, AnswerMargin: answerMargin, Caution: s.QuarantineRounds > 0, ComeBack: s.EntryInterval / 2,
 		},
 		Replica: replica.Settings{
 			Connections: s.Connections, OtherZone: min(otherZoneLatency, s.Locality), OtherRegion: s.Locality,
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -102,7 +102,7 @@
 		return Quarantined
 	}
 	for _, mark := range id.marks() {
-		if r := c.records[mark]; r != nil && r.rounds() > 0 {
+		if r := c.records[mark]; r != nil && r.suspected() {
 			return Suspect
 		}
 	}
@@ -145,8 +145,9 @@
 
 // Change is what has become of what is known of requests.
 type Change struct {
-	// Tell are the marks of which other nodes should know.
-	Tell []Mark
+	// Tell are the marks of which other nodes should know; First, that is by one round only, which an answer may soon make good.
+	Tell  []Mark
+	First bool
 	// Judged are those that were put under quarantine, or are no longer.
 	Judged []Mark
 }
@@ -170,6 +171,7 @@
 	if c.records[id.Asked].rounds() >= c.settings.Rounds {
 		c.records[id.Question].addAskers(id.Asked)
 	}
+	change.First = c.records[id.Question].rounds() <= 1 && c.records[id.Asked].rounds() <= 1
 	verdict := c.Verdict(now, id)
 	if c.settings.Rounds > 0 && max(c.records[id.Place].rounds(), c.records[id.Caller].rounds()) > c.settings.Rounds {
 		verdict = Quarantined
@@ -218,7 +220,7 @@
 			continue
 		}
 		before := r.quarantined(now)
-		if r.rounds() > 0 || before {
+		if r.told && (r.rounds() > 0 || before) {
 			change.Tell = append(change.Tell, mark)
 		}
 		c.acquit(now, r, now, service, version)
@@ -244,6 +246,7 @@
 	}
 	r.until, r.stored = 0, false
 	if len(r.runs) == 0 && len(r.shardsUntil) == 0 {
+		r.told = false
 		r.backEnds, r.versions = nil, nil
 	}
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -95,10 +95,16 @@
 func TestAnswerAcquits(t *testing.T) {
 	core, id := newCore(), asks("a", "x")
 	core.Ended(10, id, run("s", "1", 0, 10))
-	core.Ended(30, id, run("s", "2", 20, 30))
+	_, change := core.Ended(30, id, run("s", "2", 20, 30))
+	if len(core.Tell(35, change.Tell...).Requests) == 0 {
+		t.Error("nobody is told of two rounds")
+	}
 	if change := core.Answered(40, id, "s", "v1"); len(change.Tell) == 0 || core.Verdict(40, id) != quarantine.Clear {
 		t.Errorf("%v after an answer, tells %d", core.Verdict(40, id), len(change.Tell))
 	}
+	if change := core.Answered(45, id, "s", "v1"); len(change.Tell) > 0 {
+		t.Errorf("others are told %d times of what they know", 1+len(change.Tell))
+	}
 	core.Ended(60, id, run("s", "3", 50, 60))
 	if got := core.Verdict(60, id); got != quarantine.Suspect {
 		t.Errorf("%v by what came before the answer too", got)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -31,6 +31,8 @@
 	// askers are who has asked it round after round: their marks of the question as they ask it. Who was only there once may ask it and be answered.
 	askers  []Mark
 	touched clock.Ms
+	// told: other nodes know of it, and are told of an answer too.
+	told bool
 }
 
 // less orders records by what is forgotten first.
@@ -49,6 +51,18 @@
 	}
 }
 
+// wideRounds are needed before what bears the mark of a place or a caller is tried with care: with one, all that a caller asks would wait for a trial each time
+// that a back end ends by itself under one of its requests.
+const wideRounds = 2
+
+// suspected: back ends ended under it, and none has answered it since.
+func (r *record) suspected() bool {
+	if r.wide {
+		return r.rounds() >= wideRounds
+	}
+	return r.rounds() > 0
+}
+
 func (r *record) quarantined(now clock.Ms) bool { return r.stored || now < r.until }
 
 // rounds is the greatest number of runs that followed each other since the request was last answered: each began after the one before had ended.
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -21,6 +21,7 @@
 	m := &message.Evidence{}
 	for _, mark := range marks {
 		if r := c.records[mark]; r != nil && len(m.Requests) < mostTold {
+			r.told = true
 			m.Requests = append(m.Requests, r.tell(now))
 		}
 	}
@@ -31,7 +32,7 @@
 func (c *Core) TellAll(now clock.Ms) *message.Evidence {
 	var all []*record
 	for _, r := range c.records {
-		if r.rounds() > 0 || r.until > now {
+		if r.suspected() || r.until > now {
 			all = append(all, r)
 		}
 	}
@@ -46,6 +47,7 @@
 	})
 	m := &message.Evidence{}
 	for _, r := range all[:min(len(all), mostTold)] {
+		r.told = true
 		m.Requests = append(m.Requests, r.tell(now))
 	}
 	return m
@@ -86,7 +88,7 @@
 		return
 	}
 	r := c.recordOf(now, mark)
-	r.wide = told.Wide
+	r.wide, r.told = told.Wide, true
 	before := r.quarantined(now)
 	more := false
 	if answeredAt := now - clock.Ms(told.AnsweredMs); told.Answered && (!r.answered || answeredAt > r.answeredAt+sameMoment) {
