An answer of a sound version is news once

Found by reading the diff: each answer of a version that runs a request under quarantine was told to other nodes, logged and written to the store again. Test: TestAnswerAcquits, which failed.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -219,14 +219,15 @@
 		if r == nil {
 			continue
 		}
-		before := r.quarantined(now)
-		if r.told && (r.rounds() > 0 || before) {
-			change.Tell = append(change.Tell, mark)
-		}
+		held, sound, rounds, told := r.quarantined(now), len(r.sound), r.rounds(), r.told
 		c.acquit(now, r, now, service, version)
-		if before {
+		judged := held != r.quarantined(now) || sound != len(r.sound)
+		if judged {
 			change.Judged = append(change.Judged, mark)
 		}
+		if told && (judged || rounds != r.rounds()) {
+			change.Tell = append(change.Tell, mark)
+		}
 	}
 	return change
 }
@@ -235,12 +236,12 @@
 // stays under quarantine there.
 func (c *Core) acquit(now clock.Ms, r *record, at clock.Ms, service, version string) {
 	r.touched = now
-	r.runs = slices.DeleteFunc(r.runs, func(run Run) bool { return run.Service == service && run.Ended <= at })
-	delete(r.shardsUntil, service)
 	if version != "" && r.quarantined(now) && !slices.Contains(r.versions, version) {
 		r.sound = appendNew(r.sound, version, mostVersions)
 		return
 	}
+	r.runs = slices.DeleteFunc(r.runs, func(run Run) bool { return run.Service == service && run.Ended <= at })
+	delete(r.shardsUntil, service)
 	if !r.answered || at > r.answeredAt {
 		r.answered, r.answeredAt = true, at
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -114,6 +114,10 @@
 	if got, sound := core.Verdict(now, id), core.Sound(now, id); got != quarantine.Quarantined || !slices.Equal(sound, []string{"v2"}) {
 		t.Errorf("%v, sound %v after another version has answered", got, sound)
 	}
+	core.Tell(now, id.Question, id.Asked)
+	if change := core.Answered(now, id, "s", "v2"); len(change.Judged)+len(change.Tell) > 0 {
+		t.Errorf("the second answer of that version is news: %+v", change)
+	}
 	if change := core.Answered(now, id, "s", "v1"); len(change.Judged) == 0 || core.Verdict(now, id) != quarantine.Clear {
 		t.Errorf("%v after the same version has answered", core.Verdict(now, id))
 	}
