Quarantine: a record that goes again while another is made breaks nothing

Found by reading: where all that may be remembered is under quarantine, what was made for one mark of a request went again as the next was made, and was used. Test: TestFullOfQuarantines, which ended in a panic.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -157,8 +157,11 @@
 func (c *Core) Ended(now clock.Ms, id Identity, run Run) (Verdict, Change) {
 	c.noteEnd(now, run)
 	var change Change
+	// Where all that may be remembered is under quarantine a record of these may go again as the next one is made.
+	known := map[Mark]*record{}
 	for _, mark := range id.marks() {
 		r := c.recordOf(now, mark)
+		known[mark] = r
 		r.wide = !id.holds(mark)
 		grew := c.add(now, r, run)
 		if grew {
@@ -168,12 +171,12 @@
 			change.Judged = append(change.Judged, mark)
 		}
 	}
-	if c.records[id.Asked].rounds() >= c.settings.Rounds {
-		c.records[id.Question].addAskers(id.Asked)
+	if known[id.Asked].rounds() >= c.settings.Rounds {
+		known[id.Question].addAskers(id.Asked)
 	}
-	change.First = c.records[id.Question].rounds() <= 1 && c.records[id.Asked].rounds() <= 1
+	change.First = known[id.Question].rounds() <= 1 && known[id.Asked].rounds() <= 1
 	verdict := c.Verdict(now, id)
-	if c.settings.Rounds > 0 && max(c.records[id.Place].rounds(), c.records[id.Caller].rounds()) > c.settings.Rounds {
+	if c.settings.Rounds > 0 && max(known[id.Place].rounds(), known[id.Caller].rounds()) > c.settings.Rounds {
 		verdict = Quarantined
 	}
 	return verdict, change
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -343,3 +343,20 @@
 		}
 	}
 }
+
+// TestFullOfQuarantines: where all that may be remembered is under quarantine, one more request is judged by what there is room for, and nothing breaks.
+func TestFullOfQuarantines(t *testing.T) {
+	core, now := newCore(), clock.Ms(0)
+	for i := range 4096 {
+		if _, err := core.Store(now, quarantine.MarkOf([]byte(fmt.Sprint(i))), []byte("{}")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := core.Count(now); got != 4096 {
+		t.Fatalf("%d are under quarantine", got)
+	}
+	verdict, _ := core.Ended(now+10, asks("a", "x"), run("s", "1", now, now+10))
+	if verdict == quarantine.Quarantined || core.Len() > 4096 {
+		t.Errorf("%v, %d are remembered", verdict, core.Len())
+	}
+}
