A test that fails: a node whose first answers came while it stood still refuses requests for good

One of six nodes was paused for two seconds as its first requests were under way. Its lines show requests over all shards refused within 0 ms, without an attempt, until the end. The least that it took any answer to come was two seconds by then, longer than callers wait, so no attempt was made that could have shown otherwise.

--- a/internal/gateway/gone_test.go
+++ b/internal/gateway/gone_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
 	"stiletrail/internal/settings"
 )
@@ -49,3 +51,40 @@
 		})
 	}
 }
+
+// TestServesAgainAfterAPause: where all that a node knows of how long its back ends take was learned while it stood still, for nearly as long as callers wait, it does not go on
+// to refuse requests as too late to be answered.
+func TestServesAgainAfterAPause(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		const patience = 2 * time.Second
+		ask := func() gateway.Result {
+			return s.gateway.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/all/x", Deadline: time.Now().Add(patience)})
+		}
+		// The answers are there when the node goes on, as is the end of the request's time.
+		s.backEnds.set(func(_ context.Context, send gateway.Send) forward.Outcome {
+			time.Sleep(patience + 100*time.Millisecond)
+			return part(send)
+		})
+		var callers sync.WaitGroup
+		for range 8 {
+			// More than one back end of each shard has room for.
+			callers.Go(func() { ask() })
+		}
+		callers.Wait()
+		time.Sleep(200 * time.Millisecond)
+		s.backEnds.set(after(20 * time.Millisecond))
+		refused := 0
+		for range 40 {
+			if result := ask(); result.Failure != nil {
+				refused++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if most := 21; refused > most {
+			t.Errorf("%d of 40 requests in four seconds were refused, at most %d were expected", refused, most)
+		}
+		if result := ask(); result.Failure != nil {
+			t.Errorf("afterwards: %+v", result.Failure)
+		}
+	})
+}
