What a node knows of how long its back ends take is worth less the longer it tries none

Cause: the least that any answer of a back end has taken, by which attempts are not made that would come too late, was learned from the first answer and only ever corrected by further ones. Learned while the node stood still, it forbade the attempts that would have corrected it.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -46,10 +46,10 @@
 	}
 }
 
-// tooLate reports whether an answer of a replica cannot come by the deadline: it takes at least the replica's floor. Such an attempt would
-// only take a slot.
+// tooLate reports whether an answer of a replica cannot come by the deadline, by the least that any of its answers takes. Such an attempt would only take
+// a slot.
 func (r *Request) tooLate(now time.Duration, chosen *replica.Replica) bool {
-	return now+chosen.Floor() > r.deadline
+	return now+chosen.Least(now) > r.deadline
 }
 
 // choice of replicas for the next attempt at a shard: none that was tried since the last pause, and none that was not asked yet
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -131,7 +131,7 @@
 	},
 	{
 		"an attempt goes out that cannot be answered in time", "internal/forward/attempts.go",
-		"return now+chosen.Floor() > r.deadline", "return false",
+		"return now+chosen.Least(now) > r.deadline", "return false",
 		"./internal/forward", "TestNoSendThatCannotBeAnswered",
 	},
 	{
--- a/internal/mutation/quarantine_test.go
+++ b/internal/mutation/quarantine_test.go
@@ -94,4 +94,9 @@
 		"		close(w.woke)\n", "",
 		"./internal/gateway", "TestRequestOfASuspendedNode",
 	},
+	{
+		"what was learned while a node stood still holds for good", "internal/replica/replica.go",
+		"unused >= forgetAfter && least > unknownLatency", "false && unused >= forgetAfter",
+		"./internal/gateway", "TestServesAgainAfterAPause",
+	},
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,6 +62,16 @@
 // Floor is the least that an answer of the replica takes: the way there and back.
 func (r *Replica) Floor() time.Duration { return r.floor }
 
+// Least is the least that an answer takes by what is known now. What was learned is worth half as much each forgetAfter in which nothing was tried: answers that
+// came while this node stood still say that it takes seconds, and who goes by that for good makes no attempt that would show otherwise.
+func (r *Replica) Least(now time.Duration) time.Duration {
+	least := r.floor
+	for unused := now - r.sampledAt; unused >= forgetAfter && least > unknownLatency; unused -= forgetAfter {
+		least /= 2
+	}
+	return least
+}
+
 // Doubtful reports whether the replica's entry has vanished without proof that the back end leaves.
 func (r *Replica) Doubtful() bool { return r.doubtful }
 
