--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -5,7 +5,7 @@
 // gatewayMutations take out guards of the node that asks back ends itself.
 var gatewayMutations = []mutation{
 	{
-		"a lost attempt of the gateway counts as not run", "internal/forward/forward.go",
+		"a lost attempt of the gateway counts as not run", "internal/forward/outcome.go",
 		"return k == Refused || k == Misdirected ||", "return k == Lost || k == Refused || k == Misdirected ||",
 		"./internal/gateway", "TestRandomFaults",
 	},
