Requests stay in the regions of their routes, evacuated zones get nothing, cold back ends no more than they bear

Cause: the configuration names regions for a route, the operator's keys evacuate a zone, and services bound what cold back ends bear; the node read none of the three.

Change: each is a matter of which replicas may be picked, so that first attempts, hedges, retries and single trials all go by it. A route has a set of regions (package region), which the choice carries; the version that a request began with decides. A configuration that names a region nobody knows is rejected, and the last good one stays in force. Evacuated zones come on the path of all other records (watch, peers, listings) within the shortest of the three bounds; what runs there is not cut, and a zone that is taken back comes back cold. What a cold back end bears is divided among the nodes known by a hash, without an exchange; a node that knows nobody, or started within the last second, has no part.

Each test fails with its guard taken out.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -63,6 +63,8 @@
 	EventRejected       = "item_rejected"
 	EventBackEnd        = "back_end"
 	EventVanished       = "back_end_vanished"
+	EventEvacuated      = "zone_evacuated"
+	EventTakenBack      = "zone_taken_back"
 	EventListed         = "store_listed"
 	EventMembers        = "members"
 	EventLearned        = "learned_from_peer"
@@ -158,6 +160,9 @@
 		} else {
 			fmt.Fprintf(&line, "%d %s", (attempt.EndedAt - result.Arrived).Milliseconds(), attempt.Outcome.Kind)
 		}
+		if load := attempt.Outcome.Load; load.Told {
+			fmt.Fprintf(&line, " load %d+%d/%d x%.2f", load.Running, load.Waiting, load.Slots, load.Pace)
+		}
 		if attempt.Outcome.Detail != "" {
 			line.WriteString(": " + attempt.Outcome.Detail)
 		}
@@ -242,6 +247,16 @@
 	l.log.WithFields(logrus.Fields{fieldEvent: EventVanished, fieldBackEnd: id, fieldOutcome: outcome}).Info(EventVanished)
 }
 
+// Evacuated implements gateway.Journal.
+func (l *Log) Evacuated(zone string, revision uint64) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventEvacuated, fieldZone: zone, fieldRevision: revision}).Warn(EventEvacuated)
+}
+
+// TakenBack implements gateway.Journal.
+func (l *Log) TakenBack(zone string) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventTakenBack, fieldZone: zone}).Info(EventTakenBack)
+}
+
 // Listed implements gateway.Journal.
 func (l *Log) Listed(items int, revision uint64) {
 	l.log.WithFields(logrus.Fields{fieldEvent: EventListed, "items": items, fieldRevision: revision}).Info(EventListed)
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"stiletrail/internal/replica"
+)
 
 // Kind of an outcome.
 type Kind int
@@ -47,6 +51,8 @@
 	TurnedAway bool
 	// BackEndEnded: the back end itself ended, and not just the connection: it takes no connections any more.
 	BackEndEnded bool
+	// Load is what the back end told of itself with the answer.
+	Load replica.Load
 	// Detail says what happened, for logs.
 	Detail string
 }
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -14,6 +14,9 @@
 	BackEndDraining = "draining"
 	BackEndEjected  = "ejected"
 	BackEndDoubtful = "doubtful"
+	// BackEndEvacuated gets nothing, since its zone is evacuated; BackEndCold has just started or come back.
+	BackEndEvacuated = "evacuated"
+	BackEndCold      = "cold"
 )
 
 // Belief is what a gateway believes at a moment, for metrics.
@@ -28,6 +31,8 @@
 	Nodes int
 	// BackEnds counts back ends by state.
 	BackEnds map[string]int
+	// EvacuatedZones get nothing.
+	EvacuatedZones int
 	// Quarantined is the number of requests that are sent to nobody, since they end the back ends that run them.
 	Quarantined int
 }
@@ -39,7 +44,7 @@
 	now := g.now()
 	belief := Belief{
 		StoreRevision: g.view.Revision(), StoreContactAge: g.follower.ContactAge(now), CopyAge: g.copyAge(now), Nodes: g.nodes, BackEnds: map[string]int{},
-		Quarantined: g.quarantine.Count(clock.Of(now)),
+		Quarantined: g.quarantine.Count(clock.Of(now)), EvacuatedZones: g.replicas.Evacuated(),
 	}
 	g.replicas.All(func(known *replica.Replica) { belief.BackEnds[stateOf(now, known)]++ })
 	return belief
@@ -49,10 +54,14 @@
 	switch {
 	case known.Draining:
 		return BackEndDraining
+	case known.Evacuated():
+		return BackEndEvacuated
 	case known.Doubtful():
 		return BackEndDoubtful
 	case known.Ejected(now):
 		return BackEndEjected
+	case known.Cold(now):
+		return BackEndCold
 	}
 	return BackEndReady
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -76,6 +76,9 @@
 	if id, found := strings.CutPrefix(record.Key, "back ends/"); found {
 		item.BackEndID = id
 	}
+	if zone, found := strings.CutPrefix(record.Key, "evacuated/"); found {
+		item.EvacuatedZone = zone
+	}
 	return item
 }
 
@@ -239,6 +242,8 @@
 func (silentJournal) Rejected(*gateway.Item)                                    {}
 func (silentJournal) BackEnd(replica.Entry, uint64)                             {}
 func (silentJournal) Vanished(string, bool)                                     {}
+func (silentJournal) Evacuated(string, uint64)                                  {}
+func (silentJournal) TakenBack(string)                                          {}
 func (silentJournal) Listed(int, uint64)                                        {}
 func (silentJournal) StoreLost(follow.Trouble, *failure.Failure, time.Duration) {}
 func (silentJournal) StoreAnswered(time.Duration)                               {}
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -28,6 +28,9 @@
 	Rejected(item *Item)
 	BackEnd(entry replica.Entry, revision uint64)
 	Vanished(id string, certain bool)
+	// Evacuated: a zone is to get nothing from now on; TakenBack: it gets requests again.
+	Evacuated(zone string, revision uint64)
+	TakenBack(zone string)
 	Listed(items int, revision uint64)
 	StoreLost(trouble follow.Trouble, cause *failure.Failure, contactAge time.Duration)
 	StoreAnswered(contactAge time.Duration)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"stiletrail/internal/clock"
@@ -171,6 +172,7 @@
 		g.assignDuty()
 		g.takeTurns()
 	}
+	g.shareColdBackEnds()
 	near := 0
 	for _, member := range g.members.Members() {
 		if member.Region == g.members.Self().Region {
@@ -195,6 +197,18 @@
 	g.replicas.SetShares(shares)
 }
 
+// shareColdBackEnds has the nodes known divide what cold back ends bear; the lock is held. While the node has not joined the others it has no part.
+func (g *Gateway) shareColdBackEnds() {
+	var nodes []string
+	if g.nodes > 0 {
+		for _, member := range g.members.Members() {
+			nodes = append(nodes, member.Address)
+		}
+	}
+	slices.Sort(nodes)
+	g.replicas.SetFleet(g.members.Self().Address, nodes)
+}
+
 // young reports whether back ends may still count many connections of earlier lives: this node has just started, and so have many
 // others, as after a loss of power. What a node that was started alone has left behind is little.
 func (g *Gateway) young(now time.Duration) bool {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -118,7 +118,7 @@
 // versionsFor are the versions of software of the back ends that a route goes to; the lock is held.
 func (g *Gateway) versionsFor(route *routing.Route) (versions []string) {
 	add := func(service string) {
-		for _, version := range g.replicas.Versions(service) {
+		for _, version := range g.replicas.Versions(service, route.Regions) {
 			if !slices.Contains(versions, version) {
 				versions = append(versions, version)
 			}
--- /dev/null
+++ b/internal/gateway/regions_test.go
@@ -0,0 +1,174 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/region"
+	"stiletrail/internal/routing"
+)
+
+// bound is a configuration whose routes may be served in some regions only.
+func bound(version uint64, regions ...string) gateway.Item {
+	item := configuration(version)
+	for i := range item.Configuration.Routes {
+		item.Configuration.Routes[i].Regions = region.Of(regions...)
+	}
+	return item
+}
+
+// strays counts the attempts at back ends in zones that do not count as allowed.
+func strays(sends []gateway.Send, allowed string) (count int) {
+	for _, send := range sends {
+		if send.Entry.Zone != allowed {
+			count++
+		}
+	}
+	return count
+}
+
+// refuses has an attempt refused.
+func refuses(context.Context, gateway.Send) forward.Outcome {
+	return forward.Outcome{Kind: forward.Refused}
+}
+
+// afterWith ends each attempt with an outcome after some time.
+func afterWith(answer func(gateway.Send) forward.Outcome, length time.Duration) func(context.Context, gateway.Send) forward.Outcome {
+	return func(ctx context.Context, send gateway.Send) forward.Outcome {
+		select {
+		case <-time.After(length):
+			return answer(send)
+		case <-ctx.Done():
+			return forward.Outcome{Kind: forward.Lost}
+		}
+	}
+}
+
+// one serves a request to a single back end.
+func (s *scene) one() gateway.Result {
+	return s.gateway.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/one/x", Deadline: time.Now().Add(4 * time.Second)})
+}
+
+// TestRequestsStayInTheirRegions: first attempts, hedges and retries of a route that is bound to the other region go there only, though the near
+// back ends are sound, and though those allowed are slow, refuse, lose answers or end.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	troubles := map[string]func(gateway.Send) forward.Outcome{
+		"sound":  part,
+		"refuse": func(gateway.Send) forward.Outcome { return forward.Outcome{Kind: forward.Refused} },
+		"lose":   func(gateway.Send) forward.Outcome { return forward.Outcome{Kind: forward.Lost} },
+		"end":    func(gateway.Send) forward.Outcome { return forward.Outcome{Kind: forward.Lost, BackEndEnded: true} },
+	}
+	for name, answer := range troubles {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, s *scene) {
+				s.store.put(bound(2, "b"))
+				for i := range shards {
+					s.store.put(backEnd(fmt.Sprint("s", i), "-far-2", "other"))
+				}
+				time.Sleep(2 * time.Second)
+				s.backEnds.set(afterWith(answer, 150*time.Millisecond))
+				for range 20 {
+					s.search()
+					s.one()
+				}
+				sends := s.backEnds.sent()
+				if count := strays(sends, "other"); count > 0 || len(sends) < 20 {
+					t.Errorf("%d of %d attempts left their region", count, len(sends))
+				}
+			})
+		})
+	}
+}
+
+// TestNoBackEndInTheRegions: where no region that a request may be served in has a back end, it is refused at once as not run, with a time to come back.
+func TestNoBackEndInTheRegions(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		for i := range shards {
+			s.store.put(gateway.Item{Key: fmt.Sprint("back ends/s", i, "-far"), Gone: true})
+		}
+		s.store.put(bound(2, "b"))
+		time.Sleep(6 * time.Second)
+		for _, result := range []gateway.Result{s.search(), s.one()} {
+			if result.Failure == nil || !result.Failure.NotRun || result.Failure.RetryAfter == 0 || result.Elapsed > 10*time.Millisecond {
+				t.Errorf("answered %+v after %v", result.Answer, result.Elapsed)
+			}
+		}
+		if sends := s.backEnds.sent(); len(sends) > 0 {
+			t.Errorf("%d attempts were sent", len(sends))
+		}
+	})
+}
+
+// TestUnknownRegionIsRejected: a configuration that names a region nobody knows is not put in force; the last good one stays.
+func TestUnknownRegionIsRejected(t *testing.T) {
+	table, err := routing.Compile(*bound(2, "nowhere").Configuration)
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := func(name string) bool { return name == "a" || name == "b" }
+	if err := table.CheckRegions(known); failure.CodeOf(err) != failure.InvalidArgument {
+		t.Errorf("checked with %v", err)
+	}
+	play(t, func(t *testing.T, s *scene) {
+		s.store.put(bound(2, "a", "nowhere"))
+		time.Sleep(2 * time.Second)
+		if version := s.gateway.Version(); version != 1 {
+			t.Errorf("version %d is in force", version)
+		}
+		s.store.put(bound(3, "a", "b"))
+		time.Sleep(2 * time.Second)
+		if version := s.gateway.Version(); version != 3 {
+			t.Errorf("version %d is in force", version)
+		}
+	})
+}
+
+// TestRegionsOfTheVersionThatDecides: a request under way keeps the regions of the version that it began with, also for what it sends later; the next
+// one has the new ones.
+func TestRegionsOfTheVersionThatDecides(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		s.store.put(bound(2, "a"))
+		time.Sleep(2 * time.Second)
+		s.backEnds.set(afterWith(func(gateway.Send) forward.Outcome { return forward.Outcome{Kind: forward.Refused} }, 20*time.Millisecond))
+		results := make(chan gateway.Result, 1)
+		go func() { results <- s.one() }()
+		time.Sleep(30 * time.Millisecond)
+		s.store.put(bound(3, "b"))
+		<-results
+		if count := strays(s.backEnds.sent(), "zone"); count > 0 {
+			t.Errorf("%d attempts went by a later version", count)
+		}
+		before := len(s.backEnds.sent())
+		time.Sleep(2 * time.Second)
+		s.backEnds.set(after(20 * time.Millisecond))
+		s.one()
+		if sends := s.backEnds.sent()[before:]; len(sends) == 0 || strays(sends, "other") > 0 {
+			t.Errorf("sent %d attempts, %d of them by an earlier version", len(sends), strays(sends, "other"))
+		}
+	})
+}
+
+// TestPartShortOfRoomIsRefused: what does not fit at one part of a split is refused as not run and not moved to another part.
+func TestPartShortOfRoomIsRefused(t *testing.T) {
+	play(t, func(t *testing.T, s *scene) {
+		split := configuration(2)
+		split.Configuration.Routes[1].Targets = []routing.Target{{Service: "s0", Weight: 1}, {Service: "s1", Weight: 1}}
+		s.store.put(split)
+		time.Sleep(2 * time.Second)
+		s.backEnds.set(except(refuses, "s0-near", "s0-far"))
+		refused := 0
+		for range 40 {
+			if result := s.one(); result.Failure != nil && result.Failure.NotRun {
+				refused++
+			}
+		}
+		if refused != 20 {
+			t.Errorf("%d of 40 were refused, half of them go to the part without room", refused)
+		}
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -294,6 +294,7 @@
 func (g *Gateway) attemptEnded(call *Call, attempt *forward.Attempt, outcome forward.Outcome, cancelled bool) {
 	g.mutex.Lock()
 	now := g.now()
+	attempt.Replica.Tell(now, outcome.Load)
 	ejected := attempt.Replica.Finish(now, attempt.StartedAt, verdict(outcome, cancelled))
 	g.mutex.Unlock()
 	if outcome.BackEndEnded {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -44,7 +44,7 @@
 
 // FromSettings gives the gateway's settings for those of the operator.
 func FromSettings(s settings.Gateway) Settings {
-	waits := WaitsWithin(clock.Of(min(s.LeavingTime, s.ApplyWithin)))
+	waits := WaitsWithin(clock.Of(min(s.LeavingTime, s.ApplyWithin, s.EvacuateWithin)))
 	return Settings{
 		Forward: forward.Settings{
 			HedgeShare: s.HedgeShare, SiblingHedges: s.SiblingHedges, LastExtras: s.LastExtras, EarlyFinish: s.EarlyFinish, Pace: s.RetryPace, AnswerMargin: answerMargin, Caution: s.QuarantineRounds > 0, ComeBack: s.EntryInterval / 2,
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -13,8 +13,8 @@
 	"stiletrail/internal/routing"
 )
 
-// Item is one thing the store holds, in the product's own terms. At most one of Configuration and BackEnd is set; with
-// neither, the item vanished or is of no interest.
+// Item is one thing the store holds, in the product's own terms. At most one of Configuration, BackEnd and EvacuatedZone is set; with
+// none, the item vanished or is of no interest.
 type Item struct {
 	// Key is opaque.
 	Key string
@@ -25,6 +25,8 @@
 	// BackEndID is set on items about a back end, also on those that vanished.
 	BackEndID string
 	BackEnd   *replica.Entry
+	// EvacuatedZone is set on items that ask for nothing more to be sent to a zone, also on those that vanished, which take it back.
+	EvacuatedZone string
 	// Err says why an item could not be read; what was known of it before stays in force.
 	Err error
 }
@@ -248,6 +250,9 @@
 		// Of what the first listing brings, one line tells how much it is.
 		g.journal.BackEnd(*item.BackEnd, item.Revision)
 	}
+	if item.EvacuatedZone != "" && g.replicas.Evacuate(item.EvacuatedZone) {
+		g.journal.Evacuated(item.EvacuatedZone, item.Revision)
+	}
 	if item.Configuration != nil {
 		g.adopt(&item)
 	}
@@ -260,6 +265,9 @@
 		return
 	}
 	compiled, err := routing.Compile(*item.Configuration)
+	if err == nil {
+		err = compiled.CheckRegions(g.settings.Load().Places.KnowsRegion)
+	}
 	if err != nil {
 		item.Err = err
 		g.journal.Rejected(item)
@@ -268,6 +276,7 @@
 	g.splitter.Retain(compiled)
 	g.gate.Retain(compiled.HasRoute)
 	g.table.Store(compiled)
+	g.setWarmups(compiled)
 	g.shareOut()
 	if g.listed.Load() {
 		g.noteListed()
@@ -275,16 +284,30 @@
 	g.journal.Configuration(compiled, item.Revision)
 }
 
+// setWarmups tells how cold the configuration says that back ends are; the lock is held.
+func (g *Gateway) setWarmups(table *routing.Table) {
+	warmups := map[string]replica.Warmup{}
+	for _, service := range table.Services() {
+		if service.ColdFor > 0 || service.ColdRate > 0 {
+			warmups[service.Name] = replica.Warmup{For: service.ColdFor, Rate: service.ColdRate}
+		}
+	}
+	g.replicas.SetWarmups(warmups)
+}
+
 // vanished takes in that a key is gone. A back end of that is used on until a moment.
 func (g *Gateway) vanished(now time.Duration, key string, doubt time.Duration) {
 	if mark, found := quarantine.MarkOfKey(key); found {
 		g.dropQuarantine(now, mark)
 		return
 	}
-	id := g.store.Decode(message.StoreRecord{Key: key, Gone: true}).BackEndID
-	if id != "" && g.replicas.Remove(now, id, doubt) {
+	item := g.store.Decode(message.StoreRecord{Key: key, Gone: true})
+	if id := item.BackEndID; id != "" && g.replicas.Remove(now, id, doubt) {
 		g.journal.Vanished(id, doubt <= now)
 	}
+	if zone := item.EvacuatedZone; zone != "" && g.replicas.Return(now, zone) {
+		g.journal.TakenBack(zone)
+	}
 }
 
 func (g *Gateway) failed(ctx context.Context, err error) {
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -291,4 +291,34 @@
 		"		i.gateway.Refuse(&gateway.Call{ID: r.Header.Get(headerRequestID)}, refusal.Failure)\n", "",
 		"./platform", "TestEachCodeIsLogged",
 	},
+	{
+		"back ends of any region are picked", "internal/replica/pick.go",
+		"	if !c.Regions.Allows(r.region) {", "	if false {",
+		"./internal/gateway", "TestRequestsStayInTheirRegions",
+	},
+	{
+		"a configuration with an unknown region is put in force", "internal/gateway/store.go",
+		"err = compiled.CheckRegions(g.settings.Load().Places.KnowsRegion)", "err = nil",
+		"./internal/gateway", "TestUnknownRegionIsRejected",
+	},
+	{
+		"back ends of evacuated zones are picked", "internal/replica/pick.go",
+		" && !r.evacuated", "",
+		"./internal/gateway", "TestEvacuatedZoneGetsNothing",
+	},
+	{
+		"cold back ends get what anybody asks", "internal/replica/pick.go",
+		" || !s.mayStart(now, member)", "",
+		"./internal/replica", "TestColdBackEndsGetNoMoreThanTheyBear",
+	},
+	{
+		"a node that has just started has a part of what cold back ends bear", "internal/replica/warmup.go",
+		"	if now < coldWindow {", "	if false {",
+		"./internal/replica", "TestColdBackEndAndNodesThatStart",
+	},
+	{
+		"back ends of a zone that was taken back count as warm", "internal/replica/zones.go",
+		"known.coldUntil = max(known.coldUntil, now+s.warmups[known.Service].For.Duration())", "_ = now",
+		"./internal/replica", "TestZoneTakenBackIsCold",
+	},
 }
--- /dev/null
+++ b/internal/region/region.go
@@ -0,0 +1,33 @@
+// Package region holds sets of regions, such as those in which the requests of a route may be served.
+package region
+
+import "slices"
+
+// Set of regions, which is not changed once it is made. The zero value binds nothing: it allows every region.
+type Set struct {
+	names []string
+}
+
+// Of returns the set of some regions; without any it allows all.
+func Of(names ...string) Set { return Set{names: slices.Clone(names)} }
+
+// Bound reports whether the set leaves any region out.
+func (s Set) Bound() bool { return len(s.names) > 0 }
+
+// Allows reports whether a region is in the set. A place whose region is not known is in none.
+func (s Set) Allows(name string) bool {
+	return !s.Bound() || slices.Contains(s.names, name)
+}
+
+// Unknown returns the regions of the set that are not known.
+func (s Set) Unknown(known func(name string) bool) (unknown []string) {
+	for _, name := range s.names {
+		if !known(name) {
+			unknown = append(unknown, name)
+		}
+	}
+	return unknown
+}
+
+// Names of the regions, none where the set allows all.
+func (s Set) Names() []string { return slices.Clone(s.names) }
--- /dev/null
+++ b/internal/replica/load.go
@@ -0,0 +1,25 @@
+package replica
+
+import "time"
+
+// Load is what a back end tells of itself with an answer. The zero value is of one that tells nothing.
+type Load struct {
+	// Told: the back end told it.
+	Told bool
+	// Running requests are in its slots, Waiting ones in its queue.
+	Running int
+	Waiting int
+	Slots   int
+	// Pace is how long work takes there at the moment as a multiple of the usual; 1 where that is not told.
+	Pace float64
+}
+
+// HasRoom reports whether a slot was free.
+func (l Load) HasRoom() bool { return l.Told && l.Waiting == 0 && l.Running < l.Slots }
+
+// Tell takes in what the replica told of itself.
+func (r *Replica) Tell(now time.Duration, load Load) {
+	if load.Told {
+		r.load, r.loadAt = load, now
+	}
+}
--- a/internal/replica/outcome.go
+++ b/internal/replica/outcome.go
@@ -43,6 +43,9 @@
 // Start counts an attempt in.
 func (r *Replica) Start(now time.Duration) {
 	r.inFlight = append(r.inFlight, now)
+	if now < r.coldUntil {
+		r.cold.note(now)
+	}
 }
 
 // Finish counts out an attempt that started at the given time. It reports whether the replica was ejected by it.
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"stiletrail/internal/region"
 )
 
 // How the choice weighs what is known.
@@ -19,20 +21,23 @@
 	latencyGain = 0.3
 )
 
-// candidate reports whether a replica may be picked at all: it is not draining, and its address does not answer for another.
+// candidate reports whether a replica may be picked at all: it is not draining, its address does not answer for another, and its zone is not
+// evacuated.
 func (r *Replica) candidate() bool {
-	return !r.Draining && !r.misdirected
+	return !r.Draining && !r.misdirected && !r.evacuated
 }
 
-// Known reports whether a service has a back end that may be picked.
-func (s *Set) Known(service string) bool {
-	return slices.ContainsFunc(s.byService[service], (*Replica).candidate)
+// Known reports whether a service has a back end in some regions that may be picked.
+func (s *Set) Known(service string, regions region.Set) bool {
+	choice := Choice{Regions: regions}
+	return slices.ContainsFunc(s.byService[service], func(r *Replica) bool { return r.candidate() && choice.allows(r) })
 }
 
-// Versions are those of the software of a service's back ends that may be picked.
-func (s *Set) Versions(service string) (versions []string) {
+// Versions are those of the software of a service's back ends in some regions that may be picked.
+func (s *Set) Versions(service string, regions region.Set) (versions []string) {
+	choice := Choice{Regions: regions}
 	for _, member := range s.byService[service] {
-		if member.candidate() && !slices.Contains(versions, member.Version) {
+		if member.candidate() && choice.allows(member) && !slices.Contains(versions, member.Version) {
 			versions = append(versions, member.Version)
 		}
 	}
@@ -45,9 +50,14 @@
 	Only     []*Replica
 	// Versions of software that may be picked, if any are named.
 	Versions []string
+	// Regions whose back ends may be picked.
+	Regions region.Set
 }
 
 func (c Choice) allows(r *Replica) bool {
+	if !c.Regions.Allows(r.region) {
+		return false
+	}
 	if len(c.Versions) > 0 && !slices.Contains(c.Versions, r.Version) {
 		return false
 	}
@@ -83,7 +93,7 @@
 		if !member.candidate() || !choice.allows(member) {
 			continue
 		}
-		if len(member.inFlight) >= s.connectionsTo(member) {
+		if len(member.inFlight) >= s.connectionsTo(member) || !s.mayStart(now, member) {
 			busy = true
 			continue
 		}
@@ -144,7 +154,7 @@
 
 // near reports whether a replica is in the region of the node.
 func (s *Set) near(r *Replica) bool {
-	return r.Zone == s.places.Zone || s.places.Regions[r.Zone] == s.places.Regions[s.places.Zone]
+	return r.Zone == s.places.Zone || r.region == s.places.Regions[s.places.Zone]
 }
 
 // Expected is the latency expected of an attempt: the average, decayed while the replica is unused, and no less than the age
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -51,6 +51,14 @@
 	// affinity of this node to the replica; outside the subset of its service that the node prefers.
 	affinity uint64
 	outside  bool
+	// region of its zone, empty where that is not known; evacuated: its zone is to get nothing.
+	region    string
+	evacuated bool
+	// load is the last that it told, at a moment.
+	load   Load
+	loadAt time.Duration
+	// cold is what it may get from this node while it is cold.
+	cold coldStarts
 }
 
 // InFlight is the number of attempts under way.
@@ -95,6 +103,16 @@
 	Regions map[string]string
 }
 
+// KnowsRegion reports whether a zone of a region is known.
+func (p Places) KnowsRegion(name string) bool {
+	for _, region := range p.Regions {
+		if region == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Settings of the choice of replicas.
 type Settings struct {
 	// Connections is the largest number of attempts this node has under way at one back end.
@@ -125,13 +143,18 @@
 	// shares of the connections by service, where they differ from the settings'.
 	shares map[string]Share
 	young  bool
+	// evacuated zones, whose back ends get nothing.
+	evacuated map[string]bool
+	// warmups by service, and the nodes that share what cold back ends bear.
+	warmups map[string]Warmup
+	fleet   fleet
 }
 
 // NewSet returns an empty set.
 func NewSet(settings Settings, places Places, random *rand.Rand) *Set {
 	return &Set{
 		settings: settings, places: places, random: random,
-		byID: map[string]*Replica{}, byService: map[string][]*Replica{},
+		byID: map[string]*Replica{}, byService: map[string][]*Replica{}, evacuated: map[string]bool{},
 	}
 }
 
@@ -140,6 +163,7 @@
 	s.settings, s.places = settings, places
 	for _, known := range s.byID {
 		known.withdrawnFactor = settings.WithdrawnFactor
+		s.locate(known)
 	}
 	s.preferSubsets()
 }
@@ -158,6 +182,7 @@
 		known.Entry = entry
 		known.doubtful = false
 		known.coldUntil = now + entry.ColdFor
+		s.locate(known)
 		if changed {
 			s.preferSubset(entry.Service)
 		}
@@ -170,6 +195,7 @@
 		Entry: entry, sampledAt: now, coldUntil: now + entry.ColdFor, affinity: affinity(s.places.Node, entry.ID),
 		withdrawnFactor: s.settings.WithdrawnFactor,
 	}
+	s.locate(added)
 	s.byID[entry.ID] = added
 	s.byService[entry.Service] = append(s.byService[entry.Service], added)
 	s.preferSubset(entry.Service)
--- a/internal/routing/check.go
+++ b/internal/routing/check.go
@@ -16,6 +16,23 @@
 			return err
 		}
 	}
+	for _, service := range configuration.Services {
+		if service.ColdFor < 0 || service.ColdRate < 0 {
+			return invalid("service %q has a negative time or rate for cold back ends", service.Name)
+		}
+	}
+	return nil
+}
+
+// CheckRegions finds the first route that names a region which is not known. The failure is of code INVALID_ARGUMENT: whoever goes by such a
+// configuration would keep requests from all back ends, or not know where they may not go.
+func (t *Table) CheckRegions(known func(name string) bool) error {
+	for i := range t.configuration.Routes {
+		route := &t.configuration.Routes[i]
+		if unknown := route.Regions.Unknown(known); len(unknown) > 0 {
+			return invalid("route %q names the unknown region %q", route.Name, unknown[0])
+		}
+	}
 	return nil
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -8,6 +8,9 @@
 	"sort"
 	"strings"
 	"time"
+
+	"stiletrail/internal/clock"
+	"stiletrail/internal/region"
 )
 
 // Configuration is everything an operator states, as one version. It is never changed after it was compiled.
@@ -33,6 +36,10 @@
 	MaximumConnections int
 	// HealthPath answers whether a back end is well.
 	HealthPath string
+	// ColdFor is how long a back end is cold after its start, or when it has got nothing for long.
+	ColdFor clock.Ms
+	// ColdRate is the number of requests a second that a cold back end bears from all nodes together; 0 where that is not bounded.
+	ColdRate float64
 }
 
 // Target is a service with its share of a route's requests.
@@ -64,6 +71,8 @@
 	Top int
 	// Targets share the requests of a route without Shards by their weights.
 	Targets []Target
+	// Regions in which its requests may be served, cached and kept.
+	Regions region.Set
 }
 
 // FansOut reports whether requests go to all shards and not to a single back end.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -22,10 +22,11 @@
 	StopWithin time.Duration
 	// EntryInterval is how often back ends renew their entries.
 	EntryInterval time.Duration
-	// LeavingTime is how long a back end that leaves may get requests, ApplyWithin how long a configuration may take to be in force. All that
-	// a node waits for before it learns of them is derived from the shorter one.
-	LeavingTime time.Duration
-	ApplyWithin time.Duration
+	// LeavingTime is how long a back end that leaves may get requests, ApplyWithin how long a configuration may take to be in force, EvacuateWithin
+	// how long a zone may get requests that is evacuated. All that a node waits for before it learns of them is derived from the shortest one.
+	LeavingTime    time.Duration
+	ApplyWithin    time.Duration
+	EvacuateWithin time.Duration
 	// RetryShare of a service's requests may be extra attempts in any RetryWindow, over all nodes.
 	RetryShare  float64
 	RetryWindow time.Duration
@@ -92,7 +93,7 @@
 // DefaultGateway gives the settings of fields that are not set.
 func DefaultGateway() Gateway {
 	return Gateway{
-		LogLevel: "info", StopWithin: 6 * time.Second, EntryInterval: 1200 * time.Millisecond, LeavingTime: 3 * time.Second, ApplyWithin: 3 * time.Second, RetryShare: 0.2,
+		LogLevel: "info", StopWithin: 6 * time.Second, EntryInterval: 1200 * time.Millisecond, LeavingTime: 3 * time.Second, ApplyWithin: 3 * time.Second, EvacuateWithin: 5 * time.Second, RetryShare: 0.2,
 		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.45, RetryPace: 25 * time.Millisecond, EarlyFinish: true, Locality: 130 * time.Millisecond,
 		MaximumRequests: 2000, SiblingHedges: true, LastExtras: 2, SubsetSize: 2, FewRest: true, ShareConnections: true, YoungPart: 2,
 		Ejection: true, Doubt: true, StoreTurns: true, Watchers: 3, PeerCopies: true, ProveConnections: true, StartingHold: 250 * time.Millisecond, TurnAway: true, WithdrawnFactor: 2,
@@ -116,6 +117,7 @@
 	{"entry_interval", "50ms to 1m", false, duration(50*time.Millisecond, time.Minute, func(s *Gateway) *time.Duration { return &s.EntryInterval })},
 	{"leaving_time", "2s to 10m", false, duration(2*time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.LeavingTime })},
 	{"apply_within", "2s to 10m", false, duration(2*time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.ApplyWithin })},
+	{"evacuate_within", "2s to 10m", false, duration(2*time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.EvacuateWithin })},
 	{"retry_share", "0 to 1", false, share(func(s *Gateway) *float64 { return &s.RetryShare })},
 	{"retry_window", "1s to 10m", false, duration(time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.RetryWindow })},
 	{"retry_slack", "0 to 1000000", false, fraction(0, 1000000, func(s *Gateway) *float64 { return &s.RetrySlack })},
