What back ends tell of their load is read and logged

A typed value, decoded once at the platform's edge; absent on most deployments. A malformed one is counted and ignored, since the answer that it came with is sound.

--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -75,7 +75,8 @@
 	measured := telemetry.New(log)
 	pool.Connected = measured.Connected
 	store := platform.NewStoreClient(loaded.StoreAddress)
-	node := gateway.New(gateway.FromSettings(loaded), platform.NewBackEnds(pool), store, measured)
+	backEnds := platform.NewBackEnds(pool)
+	node := gateway.New(gateway.FromSettings(loaded), backEnds, store, measured)
 	addresses := serving.Addresses{Callers: loaded.CallerAddress, Ready: loaded.ReadyAddress, Metrics: loaded.MetricsAddress}
 	server, err := serving.Start(node, addresses, platform.NewIngress(node), measured, log)
 	if err != nil {
@@ -89,7 +90,7 @@
 	}
 	defer closePeers()
 	measured.Observe(telemetry.Source{
-		Gateway: node, BackEndConnections: pool.Open.Load, BackEndConnectionsOpened: pool.Opened.Load, LogLinesDropped: writer.Dropped,
+		Gateway: node, BackEndConnections: pool.Open.Load, BackEndConnectionsOpened: pool.Opened.Load, LogLinesDropped: writer.Dropped, MalformedLoads: backEnds.MalformedLoads,
 		PeerFrames: frames,
 	})
 	log.Lifecycle(decisionlog.EventStart, map[string]any{"settings": loaded})
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -26,6 +26,8 @@
 	BackEndConnections       func() int64
 	BackEndConnectionsOpened func() int64
 	LogLinesDropped          func() uint64
+	// MalformedLoads is the number of answers of back ends whose load could not be read.
+	MalformedLoads func() int64
 	// PeerFrames counts frames exchanged with other nodes; nil on a node without them.
 	PeerFrames *transport.Counters
 }
@@ -136,9 +138,11 @@
 	gauge("stiletrail_copy_age_seconds", func() float64 { return source.Gateway.Belief().CopyAge.Duration().Seconds() })
 	gauge("stiletrail_store_revision", func() float64 { return float64(source.Gateway.Belief().StoreRevision) })
 	gauge("stiletrail_nodes", func() float64 { return float64(source.Gateway.Belief().Nodes) })
-	for _, state := range []string{gateway.BackEndReady, gateway.BackEndDraining, gateway.BackEndEjected, gateway.BackEndDoubtful} {
+	for _, state := range []string{gateway.BackEndReady, gateway.BackEndDraining, gateway.BackEndEjected, gateway.BackEndDoubtful, gateway.BackEndEvacuated, gateway.BackEndCold} {
 		gauge(fmt.Sprintf(`stiletrail_back_ends{state=%q}`, state), func() float64 { return float64(source.Gateway.Belief().BackEnds[state]) })
 	}
+	gauge("stiletrail_zones_evacuated", func() float64 { return float64(source.Gateway.Belief().EvacuatedZones) })
+	gauge("stiletrail_loads_malformed_total", func() float64 { return float64(source.MalformedLoads()) })
 	gauge("stiletrail_requests_quarantined", func() float64 { return float64(source.Gateway.Belief().Quarantined) })
 	gauge("stiletrail_back_end_connections", func() float64 { return float64(source.BackEndConnections()) })
 	gauge("stiletrail_back_end_connections_opened_total", func() float64 { return float64(source.BackEndConnectionsOpened()) })
