Prices of distance and faults as shares of the target, the pace that back ends tell, reports among nodes, slack by lives: settings, all off

Each is a way to be compared with the one that stands, whole and as a setting of the same program; what stands holds by default. Faults: the share of attempts at a replica that failed, a refusal though it told of free slots among them; being full is no fault, and only full back ends count as overload. Pace: an answer that took long at a slow pace says that the back end is slow now.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -231,7 +231,7 @@
 		Lacking: len(r.shards) - r.answered, MayLack: len(r.shards) - r.required(), Attempts: len(r.attempts),
 	}
 	for _, attempt := range r.attempts {
-		if attempt.Outcome.Kind == Refused {
+		if attempt.Outcome.Kind == Refused && !attempt.Outcome.Load.HasRoom() {
 			seen.Shed++
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"stiletrail/internal/clock"
 	"stiletrail/internal/follow"
 	"stiletrail/internal/forward"
+	"stiletrail/internal/hearsay"
 	"stiletrail/internal/limit"
 	"stiletrail/internal/membership"
 	"stiletrail/internal/quarantine"
@@ -83,6 +84,12 @@
 	RetryWindow time.Duration
 	// HedgeReserve is the part of the retry budget that hedges leave for retries.
 	HedgeReserve float64
+	// Reports has nodes tell each other of slow and faulty back ends.
+	Reports bool
+	// SlackPart of the slack is used. Lives of all nodes that follow each other within a window may have it twice unless LateSlack leaves it alone in
+	// the first window of a life; without that the part grows over it.
+	SlackPart float64
+	LateSlack bool
 	// Linger is how long an attempt whose answer is of no more use may go on before its connection is closed.
 	Linger time.Duration
 	// ShareConnections divides the connections of a back end among the nodes; one in YoungPart of them while many nodes are young.
@@ -142,6 +149,9 @@
 	trials     map[quarantine.Mark]int
 	// keeping is what is to be written to the store of them.
 	keeping keeping
+	// reports is what nodes tell each other of back ends; reporting is signalled when there is something to tell.
+	reports   *hearsay.Core
+	reporting chan struct{}
 	// members are the nodes known, peers carries messages to them; nil on a node without peers.
 	members *membership.Core
 	peers   PeerTransport
@@ -164,9 +174,9 @@
 	g := &Gateway{
 		backEnds: backEnds, store: store, journal: journal, clock: clock.Start(), givenUp: make(chan struct{}),
 		firstListing: make(chan struct{}),
-		starved:      make(chan struct{}, 1),
-		replicas:     replica.NewSet(settings.Replica, settings.Places, random),
-		budgets:      map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
+		starved:      make(chan struct{}, 1), reports: hearsay.New(), reporting: make(chan struct{}, 1),
+		replicas: replica.NewSet(settings.Replica, settings.Places, random),
+		budgets:  map[string]*limit.SlidingBudget{}, splitter: routing.NewSplitter(),
 		follower: follow.New(settings.Follow, random.Float64), listedKeys: map[string]bool{},
 		quarantine: quarantine.New(settings.Quarantine), trials: map[quarantine.Mark]int{}, keeping: newKeeping(random),
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -85,6 +85,7 @@
 		g.tell(g.view.Tick(now, g.served(now), g.told(now)))
 		g.noteAge(now)
 		g.compareEvidence(now)
+		g.reports.Forget(clock.Of(now))
 		if g.young(now) != young {
 			young = !young
 			g.shareOut()
@@ -115,6 +116,8 @@
 		g.receiveSpread(now, from, m)
 	case *message.Evidence:
 		g.receiveEvidence(now, m)
+	case *message.BackEndReports:
+		g.receiveReports(now, m)
 	}
 }
 
@@ -246,5 +249,8 @@
 	}
 	settings := g.settings.Load()
 	lived := min(1, float64(g.now())/float64(settings.RetryWindow))
-	return lived * settings.RetrySlack / float64(2*g.nodes)
+	if settings.LateSlack && lived < 1 {
+		return 0
+	}
+	return lived * settings.SlackPart * settings.RetrySlack / float64(g.nodes)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -296,6 +296,7 @@
 	now := g.now()
 	attempt.Replica.Tell(now, outcome.Load)
 	ejected := attempt.Replica.Finish(now, attempt.StartedAt, verdict(outcome, cancelled))
+	g.noteMet(now, attempt.Replica, outcome)
 	g.mutex.Unlock()
 	if outcome.BackEndEnded {
 		g.journal.BackEndEnded(call, attempt, clock.Of(now-attempt.StartedAt))
@@ -318,6 +319,9 @@
 	case forward.Answered:
 		return replica.Answered
 	case forward.Refused:
+		if outcome.Load.HasRoom() {
+			return replica.RefusedWithRoom
+		}
 		return replica.Refused
 	case forward.Misdirected:
 		return replica.Misdirected
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -50,7 +50,7 @@
 			HedgeShare: s.HedgeShare, SiblingHedges: s.SiblingHedges, LastExtras: s.LastExtras, EarlyFinish: s.EarlyFinish, Pace: s.RetryPace, AnswerMargin: answerMargin, Caution: s.QuarantineRounds > 0, ComeBack: s.EntryInterval / 2,
 		},
 		Replica: replica.Settings{
-			Connections: s.Connections, OtherZone: min(otherZoneLatency, s.Locality), OtherRegion: s.Locality,
+			Connections: s.Connections, OtherZone: min(otherZoneLatency, s.Locality), OtherRegion: s.Locality, FarPrice: s.FarPrice, FaultPrice: s.FaultPrice, GoByPace: s.GoByPace,
 			SubsetSize: s.SubsetSize, FewRest: s.FewRest, Ejection: s.Ejection, Prove: s.ProveConnections, WithdrawnFactor: s.WithdrawnFactor,
 		},
 		Follow: follow.Settings{
@@ -66,6 +66,7 @@
 		RetryShare: s.RetryShare * (1 - retryMargin), RetryWindow: s.RetryWindow, HedgeReserve: hedgeReserve,
 		ShareConnections: s.ShareConnections, YoungPart: s.YoungPart, StoreTurns: s.StoreTurns, PeerCopies: s.PeerCopies,
 		Watchers: s.Watchers, StartingHold: s.StartingHold,
+		Reports: s.Reports, LateSlack: s.LateSlack, SlackPart: s.SlackPart,
 		Linger: s.Linger, TurnAway: s.TurnAway, Quarantine: quarantine.Settings{Rounds: s.QuarantineRounds, For: clock.Of(s.QuarantineFor)},
 		MaximumRequests: s.MaximumRequests, Seed: rand.Uint64(),
 	}
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -84,6 +84,7 @@
 	go g.keepQuarantines(ctx)
 	if g.members != nil {
 		go g.tickPeers(ctx)
+		go g.sendReports(ctx)
 	}
 	for ctx.Err() == nil {
 		if g.standsBy() {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -32,6 +32,7 @@
 	KindStoreRequest
 	KindStoreRecords
 	KindEvidence
+	KindBackEndReports
 )
 
 // Message is one of the types of this package.
@@ -65,6 +66,7 @@
 	KindStoreRequest:     func() Message { return new(StoreRequest) },
 	KindStoreRecords:     func() Message { return new(StoreRecords) },
 	KindEvidence:         func() Message { return new(Evidence) },
+	KindBackEndReports:   func() Message { return new(BackEndReports) },
 }
 
 func newMessage(kind Kind) Message {
--- a/internal/replica/outcome.go
+++ b/internal/replica/outcome.go
@@ -26,6 +26,8 @@
 	Answered Verdict = iota
 	// Refused: it is too full to take the request.
 	Refused
+	// RefusedWithRoom: it refused the request though it says that slots are free.
+	RefusedWithRoom
 	// Failed: a broken connection or answer.
 	Failed
 	// Unreachable: no connection was had.
@@ -61,13 +63,17 @@
 	case Answered:
 		r.failures = 0
 		r.ejectedUntil = 0
+		r.noteFault(now, 0)
 		r.lowerFloor(elapsed)
-		r.sample(now, elapsed)
+		r.sample(now, r.atUsualPace(now, elapsed))
 	case Abandoned:
 		r.abandoned(now, elapsed)
 	case Refused:
 		r.sample(now, max(elapsed, 2*r.decayed(now)))
+	case RefusedWithRoom:
+		r.noteFault(now, 1)
 	case Failed:
+		r.noteFault(now, 1)
 		r.failures++
 		if r.failures >= failuresToEject {
 			return r.eject(now)
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -17,6 +17,8 @@
 	coldFactor = 1.6
 	// forgetAfter is the time in which the latency of an unused replica halves, so that it is tried again.
 	forgetAfter = 2 * time.Second
+	// otherZonePart of the price of another region is that of another zone of the own one: 10 ms stood beside 130, and bytes cost a third.
+	otherZonePart = 0.08
 	// latencyGain is the weight of a new sample in the moving average.
 	latencyGain = 0.3
 )
@@ -52,6 +54,8 @@
 	Versions []string
 	// Regions whose back ends may be picked.
 	Regions region.Set
+	// Target is the time within which the request is to be answered; prices of a replica are shares of it.
+	Target time.Duration
 }
 
 func (c Choice) allows(r *Replica) bool {
@@ -101,7 +105,7 @@
 		if rank == rankEjected && !s.settings.Ejection {
 			rank = rankGood
 		}
-		score := s.score(now, member)
+		score := s.score(now, member, choice.Target)
 		if best == nil || rank < bestRank || (rank == bestRank && score < bestScore) {
 			best, bestRank, bestScore = member, rank, score
 		}
@@ -129,9 +133,12 @@
 	return rankGood
 }
 
-// score is the latency expected of one more attempt, in nanoseconds, with the additions for distance.
-func (s *Set) score(now time.Duration, r *Replica) float64 {
+// score is the latency expected of one more attempt, in nanoseconds, with the prices of distance and of faults.
+func (s *Set) score(now time.Duration, r *Replica, target time.Duration) float64 {
 	expected := float64(r.Expected(now)) * float64(1+len(r.inFlight))
+	if s.settings.GoByPace {
+		expected *= r.paceNow(now)
+	}
 	if now < r.coldUntil {
 		expected *= coldFactor
 	}
@@ -139,13 +146,21 @@
 	if r.outside {
 		expected += outsidePenalty
 	}
-	return expected + float64(s.distance(r))
+	faults := r.faultOdds(now) * s.settings.FaultPrice * float64(target)
+	return expected + faults + float64(s.distance(r, target))
 }
 
-func (s *Set) distance(r *Replica) time.Duration {
+func (s *Set) distance(r *Replica, target time.Duration) time.Duration {
 	if r.Zone == s.places.Zone {
 		return 0
 	}
+	if s.settings.FarPrice > 0 && target > 0 {
+		price := s.settings.FarPrice * float64(target)
+		if s.near(r) {
+			price *= otherZonePart
+		}
+		return time.Duration(price)
+	}
 	if s.near(r) {
 		return s.settings.OtherZone
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,6 +7,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Entry is a back end as the discovery service tells it.
@@ -54,6 +56,14 @@
 	// region of its zone, empty where that is not known; evacuated: its zone is to get nothing.
 	region    string
 	evacuated bool
+	// key is the hash of the id, by which nodes tell each other of it.
+	key uint64
+	// pace at which it works, as it or another node told at paceAt; 0 while nobody told.
+	pace   float64
+	paceAt time.Duration
+	// faults is the share of attempts of late that failed, as of faultsAt.
+	faults   float64
+	faultsAt time.Duration
 	// load is the last that it told, at a moment.
 	load   Load
 	loadAt time.Duration
@@ -121,6 +131,13 @@
 	// requests stay near unless the near replicas are worse by that much.
 	OtherZone   time.Duration
 	OtherRegion time.Duration
+	// FarPrice is what a replica of another region is expected to cost beyond its latency, as a share of the request's target; 0 leaves it to OtherZone
+	// and OtherRegion.
+	FarPrice float64
+	// FaultPrice is what an attempt that fails costs, as a share of the request's target.
+	FaultPrice float64
+	// GoByPace multiplies the latency that is expected by the pace that the replica tells.
+	GoByPace bool
 	// SubsetSize is how many near replicas of a service are preferred where its share of their connections is not ample.
 	SubsetSize int
 	// FewRest lets only one connection rest there.
@@ -139,6 +156,7 @@
 	places    Places
 	random    *rand.Rand
 	byID      map[string]*Replica
+	byKey     map[uint64]*Replica
 	byService map[string][]*Replica
 	// shares of the connections by service, where they differ from the settings'.
 	shares map[string]Share
@@ -154,7 +172,7 @@
 func NewSet(settings Settings, places Places, random *rand.Rand) *Set {
 	return &Set{
 		settings: settings, places: places, random: random,
-		byID: map[string]*Replica{}, byService: map[string][]*Replica{}, evacuated: map[string]bool{},
+		byID: map[string]*Replica{}, byKey: map[uint64]*Replica{}, byService: map[string][]*Replica{}, evacuated: map[string]bool{},
 	}
 }
 
@@ -193,10 +211,11 @@
 	}
 	added := &Replica{
 		Entry: entry, sampledAt: now, coldUntil: now + entry.ColdFor, affinity: affinity(s.places.Node, entry.ID),
-		withdrawnFactor: s.settings.WithdrawnFactor,
+		withdrawnFactor: s.settings.WithdrawnFactor, key: xxhash.Sum64String(entry.ID),
 	}
 	s.locate(added)
 	s.byID[entry.ID] = added
+	s.byKey[added.key] = added
 	s.byService[entry.Service] = append(s.byService[entry.Service], added)
 	s.preferSubset(entry.Service)
 	return true
@@ -241,6 +260,7 @@
 
 func (s *Set) forget(known *Replica) {
 	delete(s.byID, known.ID)
+	delete(s.byKey, known.key)
 	members := s.byService[known.Service]
 	for i, member := range members {
 		if member != known {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -85,6 +85,17 @@
 	QuarantineFor    time.Duration
 	// WithdrawnFactor times its age is taken for the latency of an attempt that was withdrawn without an answer; 1 takes it for as quick as it was old.
 	WithdrawnFactor float64
+	// FarPrice and FaultPrice are what a replica of another region, and a failed attempt, are expected to cost, as shares of the route's target. With
+	// a FarPrice of 0 Locality holds.
+	FarPrice   float64
+	FaultPrice float64
+	// GoByPace has choices go by how long work takes at a back end, as it tells.
+	GoByPace bool
+	// Reports has nodes tell each other of back ends that turn slow or faulty.
+	Reports bool
+	// SlackPart of the retry slack is used; LateSlack leaves it alone in the first window of a life.
+	SlackPart float64
+	LateSlack bool
 	// Linger is how long an attempt whose answer is of no more use may go on before its connection is closed. 0 closes it at once: the work that
 	// it saves a back end under load is worth more than the connection.
 	Linger time.Duration
@@ -97,6 +108,7 @@
 		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.45, RetryPace: 25 * time.Millisecond, EarlyFinish: true, Locality: 130 * time.Millisecond,
 		MaximumRequests: 2000, SiblingHedges: true, LastExtras: 2, SubsetSize: 2, FewRest: true, ShareConnections: true, YoungPart: 2,
 		Ejection: true, Doubt: true, StoreTurns: true, Watchers: 3, PeerCopies: true, ProveConnections: true, StartingHold: 250 * time.Millisecond, TurnAway: true, WithdrawnFactor: 2,
+		SlackPart:        0.5,
 		QuarantineRounds: 3, QuarantineFor: 10 * time.Minute,
 	}
 }
@@ -146,6 +158,12 @@
 	{"quarantine_rounds", "0 to 100", false, integer(0, 100, func(s *Gateway) *int { return &s.QuarantineRounds })},
 	{"quarantine_for", "10s to 10m", false, duration(10*time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.QuarantineFor })},
 	{"withdrawn_factor", "1 to 10", false, fraction(1, 10, func(s *Gateway) *float64 { return &s.WithdrawnFactor })},
+	{"go_by_pace", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.GoByPace })},
+	{"late_slack", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.LateSlack })},
+	{"reports", switchAllowed, false, onOff(func(s *Gateway) *bool { return &s.Reports })},
+	{"far_price", "0 to 10", false, fraction(0, 10, func(s *Gateway) *float64 { return &s.FarPrice })},
+	{"fault_price", "0 to 10", false, fraction(0, 10, func(s *Gateway) *float64 { return &s.FaultPrice })},
+	{"slack_part", "0 to 1", false, share(func(s *Gateway) *float64 { return &s.SlackPart })},
 	{"linger", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.Linger })},
 	{"starting_hold", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.StartingHold })},
 }
