--- /dev/null
+++ b/internal/gateway/reports_test.go
@@ -0,0 +1,76 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"stiletrail/internal/clock"
+	"stiletrail/internal/forward"
+	"stiletrail/internal/gateway"
+	"stiletrail/internal/replica"
+)
+
+// atPace answers each attempt after 12 ms at the usual pace, and so many times later at one back end, as it tells.
+func atPace(slow string, pace float64) func(context.Context, gateway.Send) forward.Outcome {
+	return func(ctx context.Context, send gateway.Send) forward.Outcome {
+		own := 1.0
+		if send.Entry.ID == slow {
+			own = pace
+		}
+		outcome := after(time.Duration(own*12)*time.Millisecond)(ctx, send)
+		outcome.Load = replica.Load{Told: true, Running: 1, Slots: 4, Pace: own}
+		return outcome
+	}
+}
+
+// TestStragglerIsLeftByAll: the pattern is a straggler among back ends that each node asks once or twice a second. 300 ms after one node has met it, no
+// other one sends its first attempt there; once it is well again all do.
+func TestStragglerIsLeftByAll(t *testing.T) {
+	playCluster(t, 16, func(t *testing.T, c *cluster) {
+		for _, id := range []string{"s0", "s1", "s2", "s3"} {
+			c.store.put(backEnd(id, "-far", "other"))
+		}
+		single := configuration(2)
+		single.Configuration.Routes[0].MaximumAttempts = 1
+		c.store.put(single)
+		c.backEnds.set(atPace("", 1))
+		time.Sleep(2 * time.Second)
+		search := func(g *gateway.Gateway) {
+			g.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/all/x"})
+		}
+		for _, g := range c.gateways {
+			search(g)
+		}
+		c.backEnds.set(atPace("s1-near", 14))
+		search(c.gateways[5])
+		time.Sleep(clock.Ms(300).Duration())
+		before := len(c.backEnds.sent())
+		for _, g := range c.gateways {
+			search(g)
+		}
+		if count := firstAt(c.backEnds.sent()[before:], "s1-near"); count > 0 {
+			t.Errorf("%d of 16 nodes asked the slow back end first", count)
+		}
+		c.backEnds.set(atPace("", 1))
+		time.Sleep(5 * time.Second)
+		search(c.gateways[3])
+		time.Sleep(clock.Ms(300).Duration())
+		before = len(c.backEnds.sent())
+		for _, g := range c.gateways {
+			search(g)
+		}
+		if count := firstAt(c.backEnds.sent()[before:], "s1-near"); count < 14 {
+			t.Errorf("%d of 16 nodes ask the back end that is well again", count)
+		}
+	})
+}
+
+func firstAt(sends []gateway.Send, id string) (count int) {
+	for _, send := range sends {
+		if send.Entry.ID == id && send.Attempt.Purpose == forward.First {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/replica/load.go
+++ b/internal/replica/load.go
@@ -22,7 +22,7 @@
 	// first and tells the others.
 	paceFor = 2 * time.Second
 	// firstHandFor is how long what a node met itself goes before what others tell.
-	firstHandFor = 500 * time.Millisecond
+	firstHandFor = 200 * time.Millisecond
 )
 
 // Tell takes in what the replica told of itself.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -108,7 +108,7 @@
 		RetryWindow: 10 * time.Second, Connections: 4, HedgeShare: 0.45, RetryPace: 25 * time.Millisecond, EarlyFinish: true, Locality: 130 * time.Millisecond,
 		MaximumRequests: 2000, SiblingHedges: true, LastExtras: 2, SubsetSize: 2, FewRest: true, ShareConnections: true, YoungPart: 2,
 		Ejection: true, Doubt: true, StoreTurns: true, Watchers: 3, PeerCopies: true, ProveConnections: true, StartingHold: 250 * time.Millisecond, TurnAway: true, WithdrawnFactor: 2,
-		SlackPart:        0.5,
+		FarPrice: 0.3, FaultPrice: 2, GoByPace: true, Reports: true, SlackPart: 0.9, LateSlack: true,
 		QuarantineRounds: 3, QuarantineFor: 10 * time.Minute,
 	}
 }
