--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -12,6 +12,7 @@
 	"stiletrail/internal/admit"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/forward"
+	"stiletrail/internal/replica"
 )
 
 // TestAfterAFailure: what an attempt's end leads to, by what may be repeated, by budget and by attempts allowed.
