Reports: a node does not tell itself, withdrawn attempts tell nothing, an old pace is not told as new; without choices by pace latencies are taken as they are

Found by reading the diff: the order of the region was sorted in place and could take in the node itself; each attempt told the last pace known, however old, as met now, so that a back end that is well again could be told as slow by attempts withdrawn from it; and with choices by pace off, slowness was hidden by taking answers at their usual pace.

--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"stiletrail/internal/clock"
-	"stiletrail/internal/forward"
 	"stiletrail/internal/hearsay"
 	"stiletrail/internal/message"
 	"stiletrail/internal/replica"
@@ -25,9 +24,10 @@
 	reportFar    = 1
 )
 
-// noteMet has others told of a back end that turned slow or faulty, or well again; the lock is held.
-func (g *Gateway) noteMet(now time.Duration, r *replica.Replica, outcome forward.Outcome) {
-	if g.members == nil || !g.settings.Load().Reports || outcome.Kind == 0 {
+// noteMet has others told of a back end that turned slow or faulty, or well again; the lock is held. An attempt that was withdrawn tells nothing of that: its
+// back end may stand still for a moment.
+func (g *Gateway) noteMet(now time.Duration, r *replica.Replica) {
+	if g.members == nil || !g.settings.Load().Reports {
 		return
 	}
 	pace, faults := r.Met(now)
@@ -87,7 +87,7 @@
 			others = append(others, m.Address)
 		}
 	}
-	chosen := nextOf(append(region, self.Address), self.Address, reportNext)
+	chosen := nextOf(slices.Concat(region, []string{self.Address}), self.Address, reportNext)
 	rank := func(address string) uint64 { return xxhash.Sum64String(self.Address + "/" + address) }
 	for _, candidates := range [][]string{region, others} {
 		slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -95,3 +95,30 @@
 		}
 	})
 }
+
+// TestWithdrawnAttemptsTellNothing: a back end that stands still for a moment, so that attempts at it are withdrawn for hedges that win, is told to nobody as
+// slow, and what was told before is not told again by such attempts.
+func TestWithdrawnAttemptsTellNothing(t *testing.T) {
+	playCluster(t, 4, func(t *testing.T, c *cluster) {
+		for _, id := range []string{"s0", "s1", "s2", "s3"} {
+			c.store.put(backEnd(id, "-far", "other"))
+		}
+		c.backEnds.set(atPace("", 1))
+		time.Sleep(12 * time.Second)
+		search := func(g *gateway.Gateway) {
+			g.Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/all/x"})
+		}
+		for range 3 {
+			search(c.gateways[0])
+			search(c.gateways[1])
+		}
+		c.backEnds.set(atPace("s1-near", 60))
+		search(c.gateways[0])
+		time.Sleep(clock.Ms(300).Duration())
+		before := len(c.backEnds.sent())
+		search(c.gateways[1])
+		if count := firstAt(c.backEnds.sent()[before:], "s1-near"); count != 1 {
+			t.Errorf("%d first attempts at a back end that another node has met as silent for a moment", count)
+		}
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -296,7 +296,9 @@
 	now := g.now()
 	attempt.Replica.Tell(now, outcome.Load)
 	ejected := attempt.Replica.Finish(now, attempt.StartedAt, verdict(outcome, cancelled))
-	g.noteMet(now, attempt.Replica, outcome)
+	if !cancelled || outcome.Kind == forward.Answered {
+		g.noteMet(now, attempt.Replica)
+	}
 	g.mutex.Unlock()
 	if outcome.BackEndEnded {
 		g.journal.BackEndEnded(call, attempt, clock.Of(now-attempt.StartedAt))
--- a/internal/replica/load.go
+++ b/internal/replica/load.go
@@ -44,7 +44,7 @@
 
 // atUsualPace is how long an answer would have taken at the usual pace.
 func (r *Replica) atUsualPace(now, elapsed time.Duration) time.Duration {
-	if r.loadAt != now || !r.load.Told || r.load.Pace <= 1 || elapsed <= r.floor {
+	if !r.byPace || r.loadAt != now || !r.load.Told || r.load.Pace <= 1 || elapsed <= r.floor {
 		return elapsed
 	}
 	return r.floor + time.Duration(float64(elapsed-r.floor)/r.load.Pace)
@@ -53,9 +53,9 @@
 // Key is by what nodes tell each other of the replica.
 func (r *Replica) Key() uint64 { return r.key }
 
-// Met is the pace that the replica told and the share of its attempts of late that failed.
+// Met is the pace that is known of the replica and the share of its attempts of late that failed.
 func (r *Replica) Met(now time.Duration) (pace, faults float64) {
-	return max(r.pace, 1), r.faultRate(now)
+	return r.paceNow(now), r.faultRate(now)
 }
 
 // Hear takes in what another node met at a back end at some moment.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,8 +48,9 @@
 	doubtedUntil time.Duration
 	// misdirected: the address answers for another back end.
 	misdirected bool
-	// withdrawnFactor is of the settings.
+	// withdrawnFactor and byPace are of the settings.
 	withdrawnFactor float64
+	byPace          bool
 	// affinity of this node to the replica; outside the subset of its service that the node prefers.
 	affinity uint64
 	outside  bool
@@ -134,7 +135,8 @@
 	// FaultPrice is what an attempt that fails costs, as a share of the request's target. On a day on which half of the back ends refuse 45% of what they get
 	// with slots free, worth rises from 0.36 without it to 0.45 at 1 and by 0.09 more at 2; nothing at 4, and nothing on other days.
 	FaultPrice float64
-	// GoByPace multiplies the latency that is expected by the pace that the replica tells: 0.009 (0.003) of worth where back ends tell it.
+	// GoByPace multiplies the latency that is expected by the pace that the replica tells, which is what nodes can tell each other wherever they are. By
+	// itself it is worth nothing; reports that carry it are worth 0.027 (0.010) where back ends tell it (users' worth of a day, paired runs).
 	GoByPace bool
 	// SubsetSize is how many near replicas of a service are preferred where its share of their connections is not ample.
 	SubsetSize int
@@ -178,7 +180,7 @@
 func (s *Set) Reconfigure(settings Settings, places Places) {
 	s.settings, s.places = settings, places
 	for _, known := range s.byID {
-		known.withdrawnFactor = settings.WithdrawnFactor
+		known.withdrawnFactor, known.byPace = settings.WithdrawnFactor, settings.GoByPace
 		s.locate(known)
 	}
 	s.preferSubsets()
@@ -209,7 +211,7 @@
 	}
 	added := &Replica{
 		Entry: entry, sampledAt: now, coldUntil: now + entry.ColdFor, affinity: affinity(s.places.Node, entry.ID),
-		withdrawnFactor: s.settings.WithdrawnFactor, key: xxhash.Sum64String(entry.ID),
+		withdrawnFactor: s.settings.WithdrawnFactor, byPace: s.settings.GoByPace, key: xxhash.Sum64String(entry.ID),
 	}
 	s.locate(added)
 	s.byID[entry.ID] = added
