explain tells of evacuated zones, and leaves out back ends that answered also where they told of their load

Found by reading: the load stands behind the outcome of an attempt, by whose end explain knew what was answered. The test fails without the mend.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -31,6 +31,7 @@
 	Reason   string   `json:"reason"`
 	BackEnd  string   `json:"back_end"`
 	Service  string   `json:"service"`
+	Zone     string   `json:"zone"`
 	Attempts []string `json:"attempts"`
 	Missing  int      `json:"missing"`
 	Total    int      `json:"total"`
@@ -130,6 +131,9 @@
 // matterCopy is that of lines on how old the copy of the store is.
 const matterCopy = "copy"
 
+// answered stands in the text of an attempt that was answered, before what the back end told of its load.
+const answered = " answered"
+
 // matterOf names what a line is about, where it bears on the request.
 func matterOf(known, request *line) string {
 	switch known.Event {
@@ -147,10 +151,12 @@
 		}
 	case decisionlog.EventConfiguration:
 		return "configuration"
+	case decisionlog.EventEvacuated, decisionlog.EventTakenBack:
+		return "zone " + known.Zone
 	case decisionlog.EventBackEnd, decisionlog.EventVanished, decisionlog.EventEjected, decisionlog.EventBackEndEnded:
 		for _, attempt := range request.Attempts {
 			// What is believed of a back end that answered explains nothing.
-			if known.BackEnd != "" && strings.Contains(attempt, " "+known.BackEnd+" ") && !strings.HasSuffix(attempt, " answered") {
+			if known.BackEnd != "" && strings.Contains(attempt, " "+known.BackEnd+" ") && !strings.Contains(attempt, answered) {
 				return known.Event + " " + known.BackEnd
 			}
 		}
@@ -168,6 +174,7 @@
 	add("version", known.Version, known.Version > 0)
 	add("revision", known.Revision, known.Revision > 0)
 	add("service", known.Service, known.Service != "")
+	add("zone", known.Zone, known.Zone != "")
 	add("back_end", known.BackEnd, known.BackEnd != "")
 	add("outcome", known.Outcome, known.Outcome != "")
 	add("reason", known.Reason, known.Reason != "")
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -32,3 +32,24 @@
 		t.Errorf("told\n%s\nwant\n%s", got, strings.Join(want, "\n"))
 	}
 }
+
+// TestAnsweredExplainsNothing: what is believed of a back end that answered is left out, also where it told of its load; zones that get nothing are told.
+func TestAnsweredExplainsNothing(t *testing.T) {
+	log := strings.Join([]string{
+		`{"time":"01","event":"start","node":"n"}`,
+		`{"time":"02","event":"back_end","node":"n","service":"s","back_end":"b","outcome":"ready"}`,
+		`{"time":"03","event":"zone_evacuated","node":"n","zone":"z","revision":9}`,
+		`{"time":"04","event":"request","node":"n","request":"r","outcome":"complete","attempts":["s b first 0-12 answered load 3+0/4 x1.00"]}`,
+	}, "\n")
+	report, err := explain.Request("r", []io.Reader{strings.NewReader(log)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{
+		"believed  01 n start", "believed  03 n zone_evacuated revision=9 zone=z", "request   04 n route= version=0",
+		"attempt   s b first 0-12 answered load 3+0/4 x1.00", "answered  complete after 0 ms",
+	}
+	if got := strings.Join(report.Lines, "\n"); got != strings.Join(want, "\n") {
+		t.Errorf("told\n%s\nwant\n%s", got, strings.Join(want, "\n"))
+	}
+}
