--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,7 @@
 	reports   *hearsay.Core
 	reporting chan struct{}
 	// reportsTo are the nodes that are told, chosen for a version of the members.
-	reportsTo      []membership.Member
+	reportsTo      []string
 	reportsVersion uint64
 	// members are the nodes known, peers carries messages to them; nil on a node without peers.
 	members *membership.Core
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -10,7 +10,6 @@
 
 	"stiletrail/internal/clock"
 	"stiletrail/internal/hearsay"
-	"stiletrail/internal/membership"
 	"stiletrail/internal/message"
 	"stiletrail/internal/replica"
 )
@@ -19,8 +18,9 @@
 // message. At 300 nodes, where some back end changes its pace every 10 ms, it is what bounds the telling.
 const reportPause = 150 * clock.Ms(1)
 
-// Nodes that are told of back ends, beside the next one in the order of the region: reportSteady others of it, and reportFar of other regions.
+// Nodes that are told of back ends: reportNext in the order of the region, reportSteady others of it, and reportFar of other regions.
 const (
+	reportNext   = 1
 	reportSteady = 2
 	reportFar    = 1
 )
@@ -53,7 +53,11 @@
 		case <-g.reporting:
 		}
 		g.mutex.Lock()
-		g.sendReport(g.reports.Take(clock.Of(g.now())))
+		if m := g.reports.Take(clock.Of(g.now())); m != nil {
+			for _, peer := range g.reportPeers() {
+				g.peers.Send(peer, m)
+			}
+		}
 		if g.reports.Pending() {
 			g.reportsDue()
 		}
@@ -62,66 +66,41 @@
 	}
 }
 
-// sendReport tells nodes of the region and of another one; the lock is held.
-func (g *Gateway) sendReport(near, far *message.BackEndReports) {
-	if near == nil {
-		return
-	}
-	self := g.members.Self().Region
-	for _, peer := range g.reportPeers() {
-		switch {
-		case peer.Region == self:
-			g.peers.Send(peer.Address, near)
-		case far != nil:
-			g.peers.Send(peer.Address, far)
-		}
-	}
-}
-
 // reportPeers are those that are told of back ends: the next one in the order of the region, so that nobody there is left out, steady ones that differ from
 // node to node, so that it takes few steps, and one of another region. They stay the same while the members do: each connection to another node takes
 // memory at both ends. The lock is held.
-func (g *Gateway) reportPeers() []membership.Member {
+func (g *Gateway) reportPeers() []string {
 	if version := g.members.Version(); g.reportsTo == nil || g.reportsVersion != version {
 		g.reportsTo, g.reportsVersion = g.chooseReportPeers(), version
 	}
 	return g.reportsTo
 }
 
-func (g *Gateway) chooseReportPeers() []membership.Member {
+func (g *Gateway) chooseReportPeers() []string {
 	self := g.members.Self()
-	var region, others []membership.Member
+	var region, others []string
 	for _, m := range g.members.Members() {
 		switch {
 		case !m.Usable() || m.Address == self.Address:
 		case m.Region == self.Region:
-			region = append(region, m)
+			region = append(region, m.Address)
 		default:
-			others = append(others, m)
+			others = append(others, m.Address)
 		}
 	}
-	chosen := nextMember(region, self.Address)
-	rank := func(m membership.Member) uint64 { return xxhash.Sum64String(self.Address + "/" + m.Address) }
-	for _, candidates := range [][]membership.Member{region, others} {
-		slices.SortFunc(candidates, func(a, b membership.Member) int { return cmp.Compare(rank(a), rank(b)) })
+	chosen := nextOf(slices.Concat(region, []string{self.Address}), self.Address, reportNext)
+	rank := func(address string) uint64 { return xxhash.Sum64String(self.Address + "/" + address) }
+	for _, candidates := range [][]string{region, others} {
+		slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 	}
-	for _, m := range region[:min(len(region), reportSteady)] {
-		if !slices.Contains(chosen, m) {
-			chosen = append(chosen, m)
+	for _, address := range region[:min(len(region), reportSteady)] {
+		if !slices.Contains(chosen, address) {
+			chosen = append(chosen, address)
 		}
 	}
 	return append(chosen, others[:min(len(others), reportFar)]...)
 }
 
-// nextMember is the member that follows an address in the order of all, the first after the last; none where there are none.
-func nextMember(members []membership.Member, own string) []membership.Member {
-	if len(members) == 0 {
-		return nil
-	}
-	i := slices.IndexFunc(members, func(m membership.Member) bool { return m.Address > own })
-	return []membership.Member{members[max(i, 0)]}
-}
-
 // receiveReports takes in what another node tells of back ends; the lock is held.
 func (g *Gateway) receiveReports(now time.Duration, m *message.BackEndReports) {
 	news := g.reports.Hear(clock.Of(now), m)
--- a/internal/hearsay/hearsay.go
+++ b/internal/hearsay/hearsay.go
@@ -61,8 +61,6 @@
 type known struct {
 	report Report
 	toldAt clock.Ms
-	// met: this node met it itself, and did not hear it.
-	met bool
 }
 
 // Core is what one node has told and heard. It is not safe for concurrent use.
@@ -87,7 +85,7 @@
 	case level == 0 && !found:
 		return false
 	}
-	c.tell(now, r, true)
+	c.tell(now, r)
 	return true
 }
 
@@ -103,48 +101,36 @@
 			continue
 		}
 		news = append(news, r)
-		c.tell(now, r, false)
+		c.tell(now, r)
 	}
 	return news
 }
 
-func (c *Core) tell(now clock.Ms, r Report, met bool) {
-	c.known[r.BackEnd] = known{report: r, toldAt: now, met: met}
+func (c *Core) tell(now clock.Ms, r Report) {
+	c.known[r.BackEnd] = known{report: r, toldAt: now}
 	if !slices.Contains(c.pending, r.BackEnd) {
 		c.pending = append(c.pending, r.BackEnd)
 	}
 }
 
-// Take gives what is to be told now to nodes near by, and of it to those of other regions only what this node met itself, so that a report crosses the way between
-// them once or twice and not with each node that tells it on. Nil where there is nothing; what does not fit comes with the next messages.
-func (c *Core) Take(now clock.Ms) (near, far *message.BackEndReports) {
+// Take gives what is to be told now, nil where there is nothing. What does not fit comes with the next message.
+func (c *Core) Take(now clock.Ms) *message.BackEndReports {
+	if len(c.pending) == 0 {
+		return nil
+	}
+	m := &message.BackEndReports{}
 	count := min(len(c.pending), mostTold)
 	for _, id := range c.pending[:count] {
-		told := c.known[id]
-		near = with(near, told.report.encoded(now))
-		if told.met {
-			far = with(far, told.report.encoded(now))
-		}
+		r := c.known[id].report
+		m.Reports = append(m.Reports, message.BackEndReport{
+			BackEnd: id, Pace: uint16(math.Round(paceUnit * min(max(r.Pace, 0), mostPace))), Faults: uint8(math.Round(faultUnit * r.Faults)),
+			AgeMs: uint16(min(max(now-r.SeenAt, 0), mostAge)),
+		})
 	}
 	c.pending = slices.Delete(c.pending, 0, count)
-	return near, far
-}
-
-func with(m *message.BackEndReports, r message.BackEndReport) *message.BackEndReports {
-	if m == nil {
-		m = &message.BackEndReports{}
-	}
-	m.Reports = append(m.Reports, r)
 	return m
 }
 
-func (r Report) encoded(now clock.Ms) message.BackEndReport {
-	return message.BackEndReport{
-		BackEnd: r.BackEnd, Pace: uint16(math.Round(paceUnit * min(max(r.Pace, 0), mostPace))), Faults: uint8(math.Round(faultUnit * r.Faults)),
-		AgeMs: uint16(min(max(now-r.SeenAt, 0), mostAge)),
-	}
-}
-
 // Pending reports whether there is more to tell.
 func (c *Core) Pending() bool { return len(c.pending) > 0 }
 
