Sight: what the store tells that is older than what is known is logged

Nothing said that a node drops what the store tells, nor that a listing is of an earlier revision than the one before. Two lines; no decision changes.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -25,6 +25,8 @@
 	fieldRoute    = "route"
 	fieldVersion  = "version"
 	fieldRevision = "revision"
+	// fieldKnown is the revision that was known already.
+	fieldKnown    = "known_revision"
 	fieldReason   = "reason"
 	fieldOutcome  = "outcome"
 	fieldBackEnd  = "back_end"
@@ -66,6 +68,8 @@
 	EventEvacuated      = "zone_evacuated"
 	EventTakenBack      = "zone_taken_back"
 	EventListed         = "store_listed"
+	EventWentBack       = "store_went_back"
+	EventOlder          = "store_tells_older"
 	EventMembers        = "members"
 	EventLearned        = "learned_from_peer"
 	EventPeerSilent     = "peer_silent"
@@ -262,6 +266,18 @@
 	l.log.WithFields(logrus.Fields{fieldEvent: EventListed, "items": items, fieldRevision: revision}).Info(EventListed)
 }
 
+// WentBack implements gateway.Journal.
+func (l *Log) WentBack(known, listed uint64) {
+	l.log.WithFields(logrus.Fields{fieldEvent: EventWentBack, fieldRevision: listed, fieldKnown: known}).Warn(EventWentBack)
+}
+
+// Older implements gateway.Journal.
+func (l *Log) Older(key string, revision, known uint64, count int) {
+	l.log.WithFields(logrus.Fields{
+		fieldEvent: EventOlder, "key": key, fieldRevision: revision, fieldKnown: known, "items": count,
+	}).Info(EventOlder)
+}
+
 // StoreLost implements gateway.Journal. Only the first failure in a row is written.
 func (l *Log) StoreLost(trouble follow.Trouble, cause *failure.Failure, contactAge time.Duration) {
 	if !l.lost.lose() {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -245,6 +245,8 @@
 func (silentJournal) Evacuated(string, uint64)                                  {}
 func (silentJournal) TakenBack(string)                                          {}
 func (silentJournal) Listed(int, uint64)                                        {}
+func (silentJournal) WentBack(uint64, uint64)                                   {}
+func (silentJournal) Older(string, uint64, uint64, int)                         {}
 func (silentJournal) StoreLost(follow.Trouble, *failure.Failure, time.Duration) {}
 func (silentJournal) StoreAnswered(time.Duration)                               {}
 func (silentJournal) CopyStale(clock.Ms)                                        {}
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -32,6 +32,10 @@
 	Evacuated(zone string, revision uint64)
 	TakenBack(zone string)
 	Listed(items int, revision uint64)
+	// WentBack: a listing of the store is of an earlier revision than was known.
+	WentBack(known, listed uint64)
+	// Older: the store tells changes of which later ones were known, so many; key, revision and what was known are those of one of them.
+	Older(key string, revision, known uint64, count int)
 	StoreLost(trouble follow.Trouble, cause *failure.Failure, contactAge time.Duration)
 	StoreAnswered(contactAge time.Duration)
 	// CopyStale: nothing has confirmed the copy of the store for that long; CopyFresh: it is complete again.
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -140,9 +140,13 @@
 	defer g.mutex.Unlock()
 	now := g.now()
 	g.regained(now)
+	if known := g.follower.Revision(); call.After == "" && page.At < known {
+		g.journal.WentBack(known, page.At)
+	}
 	if call.After == "" {
 		clear(g.listedKeys)
 	}
+	g.noteOlder(page.Records)
 	for _, record := range page.Records {
 		g.listedKeys[record.Key] = true
 		g.take(now, record)
@@ -199,12 +203,26 @@
 	defer g.mutex.Unlock()
 	now := g.now()
 	g.regained(now)
+	g.noteOlder(records)
 	g.takeChanges(now, records, g.doubtUntil(now, countGone(records)))
 	g.follower.Changes(now, at, len(records))
 	g.tell(g.view.Known(now, g.follower.Revision()))
 	g.confirmed(now, call.Revision, records)
 }
 
+// noteOlder notes what the store tells that is older than what is known of the same keys, as after a fall of its revisions; the lock is held.
+func (g *Gateway) noteOlder(records []message.StoreRecord) {
+	count, last := 0, message.StoreRecord{}
+	for _, record := range records {
+		if record.Revision < g.view.RevisionOf(record.Key) {
+			count, last = count+1, record
+		}
+	}
+	if count > 0 {
+		g.journal.Older(last.Key, last.Revision, g.view.RevisionOf(last.Key), count)
+	}
+}
+
 // massVanishing: so many back ends vanishing within one call is taken for trouble of the store.
 func (g *Gateway) massVanishing(count int) bool {
 	return count >= massCount && count*massShare > g.replicas.Len()
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -90,6 +90,9 @@
 	return records
 }
 
+// RevisionOf is the revision of what is known of a key, 0 where nothing is.
+func (c *Core) RevisionOf(key string) uint64 { return c.records[key].Revision }
+
 // Take takes a record in if it is newer than what is known of its key, and reports whether it was.
 func (c *Core) Take(now time.Duration, record message.StoreRecord) bool {
 	known, found := c.records[record.Key]
