--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -218,3 +218,32 @@
 		t.Errorf("%+v after an answer", call)
 	}
 }
+
+// TestAnotherEra: a store that has come back from a copy is listed anew, whatever the numbers of its revisions, and pages of two eras, or of one before what
+// others have told meanwhile, make no listing.
+func TestAnotherEra(t *testing.T) {
+	core := listed(t)
+	if core.Changes(0, at(7), history.At(2, 9), 2) {
+		t.Error("what a store that was asked in another era tells is taken for all changes since")
+	}
+	if call := core.Next(0, follow.Hearing{}); call.Kind != follow.List || call.After != "" {
+		t.Fatalf("goes on with %+v", call)
+	}
+	if core.Page(0, "b", history.At(2, 5), true) || core.Page(0, "d", history.At(3, 4), false) {
+		t.Error("pages of two eras make a listing")
+	}
+	if call := core.Next(0, follow.Hearing{}); call.Kind != follow.List || call.After != "" {
+		t.Fatalf("then goes on with %+v", call)
+	}
+	if !core.Page(0, "d", history.At(3, 4), false) || core.Revision() != history.At(3, 4) {
+		t.Errorf("a listing of a later era ends at %v", core.Revision())
+	}
+	core.Advance(history.At(4, 2))
+	if core.Page(0, "d", history.At(3, 9), false) || core.Revision() != history.At(4, 2) {
+		t.Errorf("a listing of an earlier era than others have told ends at %v", core.Revision())
+	}
+	core.Advance(history.At(3, 99))
+	if core.Revision() != history.At(4, 2) {
+		t.Errorf("goes back to %v", core.Revision())
+	}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -33,9 +33,10 @@
 	meanings map[string]gateway.Item
 	revision uint64
 	dropped  uint64
-	// era rises when the store comes back from a copy.
-	era uint64
-	err error
+	// era rises when the store comes back from a copy; written is what the operator and the back ends last wrote of each key, lost or not.
+	era     uint64
+	written map[string]message.StoreRecord
+	err     error
 	// silent watches end only when their time is over.
 	silent  bool
 	changed chan struct{}
@@ -43,7 +44,7 @@
 }
 
 func newStore() *fakeStore {
-	return &fakeStore{items: map[string]message.StoreRecord{}, meanings: map[string]gateway.Item{}, changed: make(chan struct{}), era: 1}
+	return &fakeStore{items: map[string]message.StoreRecord{}, meanings: map[string]gateway.Item{}, written: map[string]message.StoreRecord{}, changed: make(chan struct{}), era: 1}
 }
 
 var (
@@ -64,9 +65,10 @@
 	defer s.mutex.Unlock()
 	record := message.StoreRecord{Key: item.Key, Gone: item.Gone}
 	if !item.Gone {
-		record.Value = []byte(fmt.Sprint("value ", s.revision+1))
+		record.Value = []byte(fmt.Sprint("value ", len(s.meanings)+1))
 		s.meanings[string(record.Value)] = item
 	}
+	s.written[record.Key] = record
 	s.note(record)
 }
 
@@ -110,11 +112,11 @@
 		return false, nil
 	}
 	s.note(message.StoreRecord{Key: w.Key, Value: w.Value})
-	lease := history.At(s.era, s.revision)
+	lease := s.revision
 	time.AfterFunc(w.For.Duration(), func() {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
-		if s.items[w.Key].Revision == lease {
+		if s.items[w.Key].Revision.Number == lease {
 			s.note(message.StoreRecord{Key: w.Key, Gone: true})
 		}
 	})
--- a/internal/gateway/simulation_checker_test.go
+++ b/internal/gateway/simulation_checker_test.go
@@ -28,6 +28,9 @@
 	s.checkBudget()
 	s.checkCrashes()
 	s.checkPlaces()
+	if s.copies != nil {
+		s.checkCopies()
+	}
 	for id, result := range s.ends {
 		if result.Elapsed > 4100*time.Millisecond {
 			s.t.Errorf("request %s was answered after %v", id, result.Elapsed)
@@ -99,9 +102,12 @@
 	}
 }
 
-// drained is the moment from which a back end gets nothing whose entry went at another. Silence of all connections before it puts it off.
-func (s *simulation) drained(gone time.Time) time.Time {
-	moment := gone.Add(drainTime)
+// drained is the moment from which a back end gets nothing whose entry went at another.
+func (s *simulation) drained(gone time.Time) time.Time { return s.due(gone, drainTime) }
+
+// due is the moment by which all nodes go by what was confirmed at another, within some time. Silence of all connections before it puts it off.
+func (s *simulation) due(at time.Time, within time.Duration) time.Time {
+	moment := at.Add(within)
 	for _, silent := range s.silentAt {
 		if again := silent.Add(inTouchAfter); silent.Before(moment) && again.After(moment) {
 			moment = again
--- a/internal/gateway/simulation_faults_test.go
+++ b/internal/gateway/simulation_faults_test.go
@@ -23,6 +23,9 @@
 	if s.backEndsEnd && (kind == 7 || kind == 8 || kind == 10) {
 		return
 	}
+	if s.copies != nil && (kind == 7 || kind == 8 || kind == 10) {
+		return
+	}
 	if s.bursts && (kind == 8 || kind == 10) {
 		// Nodes do not restart between bursts: what a life has spent is forgotten with it, and the budget of the fleet may be exceeded then
 		// (docs/PROOF.md, Not proved).
--- a/internal/gateway/simulation_places_test.go
+++ b/internal/gateway/simulation_places_test.go
@@ -57,7 +57,7 @@
 
 // evacuateSome evacuates a zone now and then, and takes it back some seconds later. Two may be evacuated at once.
 func (s *simulation) evacuateSome() {
-	if s.places.IntN(600) != 0 {
+	if s.places.IntN(600) != 0 || s.copies != nil && s.copies.away {
 		return
 	}
 	zone := fmt.Sprint("zone-", s.places.IntN(simulatedReplicas))
@@ -109,13 +109,5 @@
 	}
 }
 
-// evacuated is the moment from which a zone gets nothing that was evacuated at another. Silence of all connections before it puts it off.
-func (s *simulation) evacuated(begin time.Time) time.Time {
-	moment := begin.Add(evacuateWithin)
-	for _, silent := range s.silentAt {
-		if again := silent.Add(inTouchAfter); silent.Before(moment) && again.After(moment) {
-			moment = again
-		}
-	}
-	return moment
-}
+// evacuated is the moment from which a zone gets nothing that was evacuated at another.
+func (s *simulation) evacuated(begin time.Time) time.Time { return s.due(begin, evacuateWithin) }
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -95,6 +95,8 @@
 	outages []span
 	// silentAt are the moments at which all connections fell silent.
 	silentAt []time.Time
+	// copies: the store comes back from copies in this course; nil for none.
+	copies *copies
 }
 
 func seeds() []uint64 {
@@ -159,6 +161,7 @@
 	withBursts
 	withEnds
 	withPlaces
+	withCopies
 )
 
 func simulate(t *testing.T, seed uint64, plays course) {
@@ -166,7 +169,10 @@
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), silences: rand.New(rand.NewPCG(seed, 2)), backEnds: map[string]*modelBackEnd{}, ends: map[string]gateway.Result{},
 		versions: map[*gateway.Gateway]uint64{}, began: time.Now(), slack: simulatedSlack,
 	}
-	s.bursts, s.backEndsEnd, s.bound = plays == withBursts, plays == withEnds, plays == withPlaces
+	s.bursts, s.backEndsEnd, s.bound = plays == withBursts, plays == withEnds, plays == withPlaces || plays == withCopies && seed%4 == 1
+	if plays == withCopies {
+		s.copies = &copies{random: rand.New(rand.NewPCG(seed, 5)), confirmed: map[uint64]time.Time{}}
+	}
 	s.places, s.evacuations = rand.New(rand.NewPCG(seed, 4)), map[string][]span{}
 	if s.bursts || s.backEndsEnd {
 		s.slack = burstSlack
@@ -188,6 +194,9 @@
 		s.startNode(i)
 	}
 	time.Sleep(6 * time.Second)
+	if s.copies != nil {
+		s.copies.latest = s.cluster.store.copy()
+	}
 	callers := sync.WaitGroup{}
 	for moment := time.Duration(0); moment < simulatedLength; moment += 10 * time.Millisecond {
 		calls := 1
@@ -210,6 +219,10 @@
 		if s.bound {
 			s.evacuateSome()
 		}
+		if s.copies != nil {
+			s.copySome()
+			s.watchInForce()
+		}
 		s.watchVersions()
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -259,6 +272,7 @@
 		bindPlaces(item.Configuration)
 	}
 	s.cluster.store.put(item)
+	s.confirm(item)
 }
 
 // call sends one request to a random node.
--- /dev/null
+++ b/internal/mutation/era_test.go
@@ -0,0 +1,107 @@
+//go:build prove
+
+package mutation
+
+// eraMutations take out guards against a store that comes back from a copy.
+var eraMutations = []mutation{
+	{
+		"revisions of two eras are compared by their numbers", "internal/history/history.go",
+		"cmp.Or(cmp.Compare(r.Era, other.Era), cmp.Compare(r.Number, other.Number))", "cmp.Compare(r.Number, other.Number)",
+		"./platform", "TestStoreFromACopy",
+	},
+	{
+		"a watch is gone on with in another era", "internal/follow/follow.go",
+		"if at.Era != from.Era {", "if false {",
+		"./internal/follow", "TestAnotherEra",
+	},
+	{
+		"pages of two eras make a listing", "internal/follow/follow.go",
+		"if at.Era != c.listedAt.Era || at.Era < c.revision.Era {", "if at.Era < c.revision.Era {",
+		"./internal/follow", "TestAnotherEra",
+	},
+	{
+		"a listing of an earlier era counts", "internal/follow/follow.go",
+		"if at.Era != c.listedAt.Era || at.Era < c.revision.Era {", "if at.Era != c.listedAt.Era {",
+		"./internal/follow", "TestAnotherEra",
+	},
+	{
+		"what a copy says as it was known is news", "internal/spread/spread.go",
+		"	return !same\n", "	return !same || found\n",
+		"./internal/spread", "TestSameValueIsNoNews",
+	},
+	{
+		"what is gone after a copy was said by somebody", "internal/spread/confirmation.go",
+		" && c.Unwritten(now) == 0", "",
+		"./platform", "TestLostWithACopy",
+	},
+	{
+		"doubt after a copy is as short as after an outage", "internal/gateway/news.go",
+		"		full = max(full, now+g.view.Unwritten(now).Duration())\n", "",
+		"./internal/gateway", "TestDoubtLastsUntilWritten",
+	},
+	{
+		"back ends that had left come back with a copy", "internal/gateway/store.go",
+		"	g.replicas.DoubtOld(now + g.settings.Load().DoubtOldFor)\n", "",
+		"./platform", "TestLostWithACopy",
+	},
+	{
+		"a back end changes its mind about leaving", "internal/replica/replica.go",
+		"		entry.Draining = entry.Draining || known.Draining\n", "",
+		"./platform", "TestLostWithACopy",
+	},
+	{
+		"a zone whose evacuation a copy lacks is taken back at once", "internal/gateway/store.go",
+		"if left := g.view.Unwritten(now); left > 0 {", "if left := g.view.Unwritten(now); left > 0 && now < 0 {",
+		"./platform", "TestLostWithACopy",
+	},
+	{
+		"a zone whose evacuation nobody writes again is never taken back", "internal/gateway/store.go",
+		"		g.takeBackDue(g.now())\n", "",
+		"./platform", "TestLostWithACopy",
+	},
+	{
+		"nodes that start are not told a configuration that a copy lacks", "internal/gateway/store.go",
+		"	if lost {\n		g.view.Keep(g.inForce)", "	if lost && key == \"\" {\n		g.view.Keep(g.inForce)",
+		"./platform", "TestLostWithACopy",
+	},
+	{
+		"nodes that start do not ask for one", "internal/spread/era.go",
+		"	return []Send{{peer, &message.StoreRequest{}}}\n", "	return nil\n",
+		"./platform", "TestLostWithACopy",
+	},
+	{
+		"a node asks for ever for a configuration that it turns down", "internal/spread/era.go",
+		"if c.keptTries >= mostKeptTries {", "if false {",
+		"./internal/spread", "TestKeptConfiguration",
+	},
+	{
+		"a quarantine that a copy lacks is over", "internal/gateway/quarantine.go",
+		"		g.quarantine.Lost(mark)\n		return\n", "",
+		"./internal/gateway", "TestQuarantineLostWithACopy",
+	},
+	{
+		"a quarantine that was lifted comes back with a copy", "internal/gateway/quarantine.go",
+		"g.view.Unwritten(at) > 0 && g.quarantine.Lifted(mark)", "false",
+		"./internal/gateway", "TestLiftedQuarantineComesBackWithACopy",
+	},
+	{
+		"what one node was let do is lost with a copy", "internal/gateway/store.go",
+		"	g.keeping.rewriteClaims()\n", "",
+		"./internal/gateway", "TestRetrialLostWithACopy",
+	},
+	{
+		"another node is let do it while the store may lack that one was", "internal/gateway/keeping.go",
+		"mayAsk := g.view.Unwritten(g.now()) == 0 && g.keeping", "mayAsk := g.keeping",
+		"./internal/gateway", "TestRetrialLostWithACopy",
+	},
+	{
+		"a lease of an earlier era is relied on", "platform/store.go",
+		"if !written || err != nil || era == leased {", "if !written || err != nil || era >= leased {",
+		"./platform", "TestWritesAcrossEras",
+	},
+	{
+		"an era that cannot be read passes", "platform/store.go",
+		"	era, err = strconv.ParseUint(text, 10, 64)\n	if err != nil {", "	era, err = strconv.ParseUint(text, 10, 64)\n	if false {",
+		"./platform", "TestErasOnTheWire",
+	},
+}
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -51,12 +51,12 @@
 	},
 	{
 		"older records replace newer ones", "internal/spread/spread.go",
-		"if found && record.Revision <= known.Revision {", "if false {",
+		"if found && !record.Revision.After(known.Revision) {", "if false {",
 		"./internal/spread", "TestOlderRecordsAreDropped",
 	},
 	{
 		"an answer to an earlier life counts as complete", "internal/spread/spread.go",
-		"if m.Whole || m.Since <= c.revision {", "if true {",
+		"if m.Whole || !m.Since.After(c.revision) {", "if true {",
 		"./internal/spread", "TestAnswerToAnEarlierLife",
 	},
 	{
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, m := range slices.Concat(mutations, gatewayMutations, quarantineMutations) {
+	for _, m := range slices.Concat(mutations, gatewayMutations, quarantineMutations, eraMutations) {
 		t.Run(strings.ReplaceAll(m.name, " ", "-"), func(t *testing.T) {
 			prove(t, root, m)
 		})
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -360,3 +360,31 @@
 		t.Errorf("%v, %d are remembered", verdict, core.Len())
 	}
 }
+
+// TestLostByTheStore: a quarantine that a store back from a copy says nothing of goes on for what was left of it, and is named to be written again; one that
+// was lifted is known to be.
+func TestLostByTheStore(t *testing.T) {
+	core, id := newCore(), asks("a", "x")
+	mark := id.Question
+	if _, err := core.Store(1000, mark, []byte(`{"versions":["v1"]}`)); err != nil {
+		t.Fatal(err)
+	}
+	core.Lost(mark)
+	if left, held := core.Held(2000, mark); !held || left != heldFor-1000 {
+		t.Errorf("held %v for %d ms", held, left)
+	}
+	if unstored := core.Unstored(2000); unstored[mark] != heldFor-1000 {
+		t.Errorf("to be written %v", unstored)
+	}
+	if core.Lifted(mark) {
+		t.Error("lifted")
+	}
+	core.Answered(3000, id, "s", "v1")
+	if !core.Lifted(mark) || core.Verdict(3000, id) != quarantine.Clear {
+		t.Errorf("after an answer %v, lifted %v", core.Verdict(3000, id), core.Lifted(mark))
+	}
+	if _, err := core.Store(9000, mark, []byte(`{"versions":["v1"]}`)); err != nil || core.Lifted(mark) {
+		t.Errorf("lifted by a newer quarantine, %v", err)
+	}
+	core.Lost(asks("b", "y").Question)
+}
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -95,6 +95,7 @@
 		more = r.rounds() > 0 || before
 		r.answered, r.answeredAt = true, answeredAt
 		if r.heldAt <= answeredAt {
+			r.lifted = r.lifted || before
 			r.until, r.stored = 0, false
 		}
 	}
@@ -115,7 +116,7 @@
 	over := r.answered && r.answeredAt >= heldAt
 	if told.QuarantinedMs > 0 && until > r.until+sameMoment && !over {
 		more = more || r.until <= now
-		r.heldAt, r.until = heldAt, until
+		r.heldAt, r.until, r.lifted = heldAt, until, false
 	}
 	for _, version := range told.Sound {
 		if !slices.Contains(r.sound, version) {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -256,7 +256,7 @@
 		return nil
 	}
 	reply := &message.StoreRecords{
-		Since: m.Revision, Revision: c.revision, Whole: m.Revision.Before(c.horizon) || m.Revision.Era != c.revision.Era || m.Revision.Unknown(),
+		Since: m.Revision, Revision: c.revision, Whole: m.Revision.Before(c.horizon) || m.Revision.Unknown(),
 		Kept: c.keptRecords(), Confirmation: c.confirmation(now),
 	}
 	for _, known := range c.records {
