--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -58,6 +58,15 @@
 	return copied
 }
 
+// RestoreAgain puts an older copy in place whose versions are given out again from there on.
+func (s *Store) RestoreAgain(copied map[string]platform.Entry) {
+	s.entries, s.version = map[string]platform.Entry{}, 0
+	for key, entry := range copied {
+		s.entries[key] = entry
+		s.version = max(s.version, entry.Version)
+	}
+}
+
 // Restore puts an older copy in place, as after a loss of the service's data. Versions go on rising.
 func (s *Store) Restore(copied map[string]platform.Entry) {
 	s.entries = make(map[string]platform.Entry, len(copied))
