The product's own store has eras too: a document, a listing and a write's base are told from those before a copy

Versions were compared as numbers: two changes that each followed on version 1, the first lost by the store with a copy, had the same version, and nodes that held the first kept it for good; an entry whose number was known was not read again; a base read before was written over, though another write had its number by then. Change: an entry has a stamp of era and version; writes name the era of their base; versions of documents go on from another number in each era.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -57,7 +57,8 @@
 // Document is the configuration of one service at one version.
 type Document struct {
 	Service string `json:"service"`
-	// Version is the store's version of the key, which the store raises by one with each write.
+	// Version rises with each change of the service. In each era of the store it goes on from another number, far above all of the eras before: of two changes
+	// that follow on the same one, since the store lost the first with a copy, the later one is in force everywhere, and no node takes them for the same.
 	Version uint64 `json:"version"`
 	Deleted bool   `json:"deleted,omitempty"`
 	// Operations are the ids of the last operations, newest last; an answer lost after the write is settled by them.
@@ -65,13 +66,18 @@
 	Specification Specification `json:"specification"`
 }
 
-// Next returns the document that an operation puts in place of d.
-func (d Document) Next(operation string, specification Specification, deleted bool) Document {
+// eraVersions is from how far above the versions of one era of the store those of the next one begin. At 55,000 changes a day, all of one service, an era would
+// last fifty years.
+const eraVersions = 1_000_000_000
+
+// Next returns the document that an operation puts in place of d in an era of the store.
+func (d Document) Next(era uint64, operation string, specification Specification, deleted bool) Document {
+	version := max(d.Version, era*eraVersions) + 1
 	operations := append(slices.Clone(d.Operations), operation)
 	if len(operations) > operationsKept {
 		operations = operations[len(operations)-operationsKept:]
 	}
-	return Document{Service: d.Service, Version: d.Version + 1, Deleted: deleted, Operations: operations, Specification: specification}
+	return Document{Service: d.Service, Version: version, Deleted: deleted, Operations: operations, Specification: specification}
 }
 
 // HasOperation reports whether the operation is among the last ones.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -69,7 +69,7 @@
 func TestDeltaIsRefusedOnAnotherDocument(t *testing.T) {
 	backEnds := []BackEnd{{Address: "a", Slots: 1}, {Address: "b", Slots: 1}}
 	from := Document{Service: "lookup", Version: 1, Specification: Specification{BackEnds: backEnds}}
-	to := from.Next("op", Specification{BackEnds: backEnds[:1]}, false)
+	to := from.Next(0, "op", Specification{BackEnds: backEnds[:1]}, false)
 	delta, _ := Diff(from, to)
 	other := from
 	other.Specification = Specification{BackEnds: []BackEnd{{Address: "c", Slots: 9}}}
@@ -84,7 +84,7 @@
 func TestOperationsAreKeptForAWhile(t *testing.T) {
 	document := Document{Service: "lookup"}
 	for i := range 10 {
-		document = document.Next(fmt.Sprint(i), Specification{}, false)
+		document = document.Next(0, fmt.Sprint(i), Specification{}, false)
 	}
 	if document.HasOperation("1") || !document.HasOperation("2") || document.Version != 10 {
 		t.Errorf("operations %v, version %d", document.Operations, document.Version)
--- a/internal/engine/configuration.go
+++ b/internal/engine/configuration.go
@@ -88,7 +88,7 @@
 			e.output.StoreReads = append(e.output.StoreReads, StoreRead{Operation: operation, Service: run.rollout.Service})
 		case request.Write != nil:
 			e.output.StoreWrites = append(e.output.StoreWrites, StoreWrite{
-				Operation: operation, EntryVersion: request.Write.EntryVersion, Document: request.Write.Document,
+				Operation: operation, Base: request.Write.Base, Document: request.Write.Document,
 			})
 		case request.Adopt != nil:
 			e.adopt(operation, *request.Adopt)
@@ -139,7 +139,7 @@
 		outcome = rollout.Refused
 	}
 	if run := e.rollouts[operation]; run != nil {
-		e.rolled(operation, run.rollout.WasRead(now, outcome, entry.Version, stored))
+		e.rolled(operation, run.rollout.WasRead(now, outcome, entry.Stamp, stored))
 	} else if e.reading[operation] {
 		e.listedEntryRead(operation, outcome, entry, stored)
 	}
@@ -187,7 +187,7 @@
 	e.output.StoreLists++
 }
 
-// StoreListed takes in the keys and entry versions of the whole store. The entries that are not known are read one by one;
+// StoreListed takes in the keys and stamps of the whole store. The entries that are not known are read one by one;
 // once all are in force here, the catalog is known equal to the store as it was when it was asked.
 func (e *Engine) StoreListed(now time.Duration, entries []platform.Entry, ok bool) Output {
 	e.begin(now)
@@ -196,19 +196,19 @@
 		return e.end()
 	}
 	clear(e.reading)
-	listed := make(map[string]uint64, len(entries))
+	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		service := strings.TrimPrefix(entry.Key, platform.ServicePrefix)
-		listed[service] = entry.Version
-		if e.entryVersions[service] != entry.Version {
+		listed[service] = true
+		if e.entryStamps[service] != entry.Stamp {
 			operation := e.next()
 			e.reading[operation] = true
 			e.output.StoreReads = append(e.output.StoreReads, StoreRead{Operation: operation, Service: service})
 		}
 	}
-	for service := range e.entryVersions {
-		if listed[service] == 0 {
-			delete(e.entryVersions, service)
+	for service := range e.entryStamps {
+		if !listed[service] {
+			delete(e.entryStamps, service)
 			delete(e.storedVersions, service)
 		}
 	}
@@ -234,7 +234,7 @@
 	if stored.Service == "" {
 		return
 	}
-	e.entryVersions[stored.Service] = entry.Version
+	e.entryStamps[stored.Service] = entry.Stamp
 	e.storedVersions[stored.Service] = stored.Version
 	e.merge(stored)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -58,10 +58,10 @@
 	listedAt  time.Duration
 	nextList  time.Duration
 	storeLags map[string]uint64
-	// reading holds the reads that the present reading of the store waits for; entryVersions and storedVersions what the
+	// reading holds the reads that the present reading of the store waits for; entryStamps and storedVersions what the
 	// store was last known to hold.
 	reading        map[uint64]bool
-	entryVersions  map[string]uint64
+	entryStamps    map[string]platform.Stamp
 	storedVersions map[string]uint64
 	listBytes      int
 	statuses       map[uint64]*statusRun
@@ -106,7 +106,7 @@
 		routes:     map[string]*route{}, loads: map[string]*dispatcherLoad{},
 		searches: map[uint64]*search{}, executes: map[uint64]*execute{}, subOwners: map[query.ID]uint64{},
 		rollouts: map[uint64]*rolloutRun{}, statuses: map[uint64]*statusRun{}, forwards: map[uint64]*forward{},
-		storeLags: map[string]uint64{}, reading: map[uint64]bool{}, entryVersions: map[string]uint64{}, storedVersions: map[string]uint64{},
+		storeLags: map[string]uint64{}, reading: map[uint64]bool{}, entryStamps: map[string]platform.Stamp{}, storedVersions: map[string]uint64{},
 		reissues: limit.NewBudget(settings.ReissueShare, settings.Dispatch.BudgetCapacity),
 	}
 	e.gossip = gossip.New(e.catalog, e.members, settings.Gossip, random, e.documentArrived)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -32,8 +32,8 @@
 	if output.StoreLists != 1 {
 		t.Fatalf("%d readings of the store were asked for", output.StoreLists)
 	}
-	entry := platform.Entry{Key: platform.ServicePrefix + "lookup", Version: 9, Value: lookupDocument().Encode()}
-	output = e.StoreListed(time.Second, []platform.Entry{{Key: entry.Key, Version: entry.Version}}, true)
+	entry := platform.Entry{Key: platform.ServicePrefix + "lookup", Stamp: platform.Stamp{Version: 9}, Value: lookupDocument().Encode()}
+	output = e.StoreListed(time.Second, []platform.Entry{{Key: entry.Key, Stamp: entry.Stamp}}, true)
 	if len(output.StoreReads) != 1 || e.Ready() {
 		t.Fatalf("reads %v, ready %t", output.StoreReads, e.Ready())
 	}
@@ -142,13 +142,13 @@
 		e := alone(t)
 		meet(t, e, time.Second, "10.0.0.2:7200", "zone-b")
 		e.Tick(12 * time.Second) // past the wait for peers that are not there to join
-		e.StoreListed(12*time.Second, []platform.Entry{{Key: platform.ServicePrefix + "lookup", Version: 9}}, true)
+		e.StoreListed(12*time.Second, []platform.Entry{{Key: platform.ServicePrefix + "lookup", Stamp: platform.Stamp{Version: 9}}}, true)
 		wanted := intent.Intent{Service: "lookup", Specification: lookupDocument().Specification}
 		output := e.Confirm(12100*time.Millisecond, 7, ConfirmRequest{Intent: wanted, BaseVersion: 1, Operation: "op"})
 		operation := output.StoreReads[0].Operation
-		stored := platform.Entry{Version: 9, Value: lookupDocument().Encode()}
+		stored := platform.Entry{Stamp: platform.Stamp{Version: 9}, Value: lookupDocument().Encode()}
 		output = e.StoreReadDone(12100*time.Millisecond, operation, rollout.Done, stored)
-		if len(output.StoreWrites) != 1 || output.StoreWrites[0].EntryVersion != 9 {
+		if len(output.StoreWrites) != 1 || output.StoreWrites[0].Base.Version != 9 {
 			t.Fatalf("writes %+v", output.StoreWrites)
 		}
 		output = e.StoreWriteDone(12100*time.Millisecond, operation, rollout.Done, true)
@@ -173,9 +173,30 @@
 	for now := 7 * time.Second; output.StoreLists == 0 && now < 20*time.Second; now += 100 * time.Millisecond {
 		output = e.Tick(now)
 	}
-	changed := platform.Entry{Key: platform.ServicePrefix + "lookup", Version: 10}
+	changed := platform.Entry{Key: platform.ServicePrefix + "lookup", Stamp: platform.Stamp{Version: 10}}
 	output = e.StoreListed(20*time.Second, []platform.Entry{changed}, true)
 	if len(output.StoreReads) != 1 || output.StoreReads[0].Service != "lookup" {
 		t.Errorf("reads %+v", output.StoreReads)
 	}
 }
+
+// TestListedInAnotherEra: an entry whose version is known is read again where the store has come back from a copy since: it may be another write of that number.
+func TestListedInAnotherEra(t *testing.T) {
+	e := alone(t)
+	list := func(at time.Duration, era uint64) []StoreRead {
+		entry := platform.Entry{Key: platform.ServicePrefix + "lookup", Stamp: platform.Stamp{Era: era, Version: 9}}
+		output := e.StoreListed(at, []platform.Entry{entry}, true)
+		for _, read := range output.StoreReads {
+			e.StoreReadDone(at, read.Operation, rollout.Done, platform.Entry{Stamp: entry.Stamp, Value: lookupDocument().Encode()})
+		}
+		return output.StoreReads
+	}
+	for i, c := range []struct {
+		era  uint64
+		read int
+	}{{0, 0}, {1, 1}, {1, 0}, {2, 1}} {
+		if reads := list(time.Duration(20+i)*time.Second, c.era); len(reads) != c.read {
+			t.Errorf("listing %d, of era %d: %d entries are read", i, c.era, len(reads))
+		}
+	}
+}
--- a/internal/engine/output.go
+++ b/internal/engine/output.go
@@ -6,6 +6,7 @@
 	"stiletrail/internal/catalog"
 	"stiletrail/internal/dispatch"
 	"stiletrail/internal/message"
+	"stiletrail/internal/platform"
 	"stiletrail/internal/query"
 	"stiletrail/internal/rollout"
 	"stiletrail/internal/scatter"
@@ -29,9 +30,9 @@
 
 // StoreWrite asks the store for a compare-and-swap of a service's entry.
 type StoreWrite struct {
-	Operation    uint64
-	EntryVersion uint64
-	Document     catalog.Document
+	Operation uint64
+	Base      platform.Stamp
+	Document  catalog.Document
 }
 
 // SearchAnswer is the outcome of a search.
--- a/internal/mutation/era_test.go
+++ b/internal/mutation/era_test.go
@@ -104,6 +104,21 @@
 		"	if number < r.Number {", "	if false {",
 		"./platform", "TestStoreThatTellsNoEra",
 	},
+	{
+		"documents of another era go on from the versions before", "internal/catalog/catalog.go",
+		"version := max(d.Version, era*eraVersions) + 1", "version := max(d.Version, era) + 1",
+		"./internal/simulation", "TestTwoHistories",
+	},
+	{
+		"a base of another era is written over", "internal/standin/store.go",
+		"if present.Stamp != base {", "if present.Version != base.Version {",
+		"./internal/rehearsal", "TestBaseOfAnotherEra",
+	},
+	{
+		"an entry of another era is not read", "internal/engine/configuration.go",
+		"if e.entryStamps[service] != entry.Stamp {", "if e.entryStamps[service].Version != entry.Version {",
+		"./internal/engine", "TestListedInAnotherEra",
+	},
 	{
 		"an era that cannot be read passes", "platform/store.go",
 		"	era, err := strconv.ParseUint(text, 10, 64)\n	if err != nil {", "	era, err := strconv.ParseUint(text, 10, 64)\n	if false && err != nil {",
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -36,12 +36,12 @@
 	},
 	{
 		"vanished entries are used for ever", "internal/replica/replica.go",
-		"	if until <= now {\n		s.forget(known)\n		return true\n	}\n", "",
+		"	if until <= now {\n		s.noteLeft(now, id)\n		s.forget(known)\n		return true\n	}\n", "",
 		"./internal/replica", "TestVanished",
 	},
 	{
 		"an entry that lapsed in an outage is gone at once", "internal/replica/replica.go",
-		"	if until <= now {\n		s.forget(known)", "	if true {\n		s.forget(known)",
+		"	if until <= now {\n		s.noteLeft(now, id)", "	if true {\n		s.noteLeft(now, id)",
 		"./internal/gateway", "TestLapsedEntries",
 	},
 	{
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -108,7 +108,7 @@
 	},
 	{
 		"relays trust their watch", "internal/engine/configuration.go",
-		"		if e.entryVersions[service] != entry.Version {", "		if e.entryVersions[service] == 0 {",
+		"		if e.entryStamps[service] != entry.Stamp {", "		if e.entryStamps[service].Version == 0 {",
 		"./internal/engine", "TestListedChangesAreRead",
 	},
 	{
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -51,7 +51,7 @@
 
 func (n *Node) writeStore(write engine.StoreWrite) {
 	key := platform.ServicePrefix + write.Document.Service
-	_, swapped, err := n.options.Store.CompareAndSwap(n.ctx, key, write.EntryVersion, write.Document.Encode())
+	_, swapped, err := n.options.Store.CompareAndSwap(n.ctx, key, write.Base, write.Document.Encode())
 	n.step(func(now time.Duration) engine.Output {
 		return n.engine.StoreWriteDone(now, write.Operation, outcomeOf(err), swapped)
 	})
--- a/internal/platform/connect.go
+++ b/internal/platform/connect.go
@@ -45,7 +45,7 @@
 }
 
 func toEntry(entry *stiletrailv1.Entry) Entry {
-	return Entry{Key: entry.GetKey(), Version: entry.GetVersion(), Value: entry.GetValue()}
+	return Entry{Key: entry.GetKey(), Stamp: Stamp{Era: entry.GetEra(), Version: entry.GetVersion()}, Value: entry.GetValue()}
 }
 
 // Get implements Store.
@@ -56,7 +56,9 @@
 	if err != nil {
 		return Entry{}, false, readFailure(err)
 	}
-	return toEntry(response.Msg.GetEntry()), response.Msg.GetEntry() != nil, nil
+	entry := toEntry(response.Msg.GetEntry())
+	entry.Era = response.Msg.GetEra()
+	return entry, response.Msg.GetEntry() != nil, nil
 }
 
 // List implements Store.
@@ -75,10 +77,10 @@
 }
 
 // CompareAndSwap implements Store.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, base uint64, value []byte) (Entry, bool, error) {
+func (c *Client) CompareAndSwap(ctx context.Context, key string, base Stamp, value []byte) (Entry, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
 	defer cancel()
-	request := &stiletrailv1.CompareAndSwapRequest{Key: key, BaseVersion: base, Value: value}
+	request := &stiletrailv1.CompareAndSwapRequest{Key: key, BaseVersion: base.Version, BaseEra: base.Era, Value: value}
 	response, err := c.store.CompareAndSwap(ctx, connect.NewRequest(request))
 	if err != nil {
 		return Entry{}, false, writeFailure(err)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,12 +7,19 @@
 	"time"
 )
 
-// Entry is a key of the key-value service with its value.
+// Stamp says which write of a key is meant; only equality is relied on.
+type Stamp struct {
+	// Era of the service: it rises when the service comes back from a copy that lacks its latest writes, and gives versions out again.
+	Era uint64
+	// Version is the service's own, raised with each write; zero for a key that is not there.
+	Version uint64
+}
+
+// Entry is a key of the key-value service with its value. Where the key is not there it has the era alone.
 type Entry struct {
 	Key string
-	// Version is the service's own, raised with each write; only equality is relied on.
-	Version uint64
-	Value   []byte
+	Stamp
+	Value []byte
 }
 
 // Store is the key-value service. Errors are of type *failure.Failure: STORE_UNAVAILABLE where a request certainly took
@@ -22,9 +29,8 @@
 	Get(ctx context.Context, key string) (entry Entry, found bool, err error)
 	// List returns all entries with the prefix, without their values: at the size to design for the values are 7 MB.
 	List(ctx context.Context, prefix string) ([]Entry, error)
-	// CompareAndSwap writes if the key is still at the base version (zero: absent). swapped is false, with the
-	// present entry, if it is not.
-	CompareAndSwap(ctx context.Context, key string, base uint64, value []byte) (entry Entry, swapped bool, err error)
+	// CompareAndSwap writes if the key is still at the base (version zero: absent). swapped is false, with the present entry, if it is not.
+	CompareAndSwap(ctx context.Context, key string, base Stamp, value []byte) (entry Entry, swapped bool, err error)
 	// Watch calls changed for each write until the context ends or the connection breaks. Events may be lost.
 	Watch(ctx context.Context, prefix string, changed func(Entry)) error
 }
--- a/internal/rehearsal/contract_test.go
+++ b/internal/rehearsal/contract_test.go
@@ -14,6 +14,7 @@
 	"stiletrail/internal/api"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/platform"
+	"stiletrail/internal/standin"
 )
 
 // patience bounds what a test waits for; nothing depends on its length.
@@ -33,19 +34,19 @@
 	if _, found, err := client.Get(ctx, key); found || err != nil {
 		t.Errorf("absent key: found %t, error %v", found, err)
 	}
-	first, swapped, err := client.CompareAndSwap(ctx, key, 0, []byte("one"))
+	first, swapped, err := client.CompareAndSwap(ctx, key, platform.Stamp{}, []byte("one"))
 	if !swapped || err != nil {
 		t.Fatalf("first write: swapped %t, error %v", swapped, err)
 	}
-	if present, swapped, err := client.CompareAndSwap(ctx, key, 0, []byte("two")); swapped || err != nil || present.Version != first.Version {
+	if present, swapped, err := client.CompareAndSwap(ctx, key, platform.Stamp{}, []byte("two")); swapped || err != nil || present.Stamp != first.Stamp {
 		t.Errorf("write on an old base: swapped %t, present %v, error %v", swapped, present, err)
 	}
-	if listed, err := client.List(ctx, platform.ServicePrefix); err != nil || len(listed) != 1 || len(listed[0].Value) != 0 || listed[0].Version != first.Version {
+	if listed, err := client.List(ctx, platform.ServicePrefix); err != nil || len(listed) != 1 || len(listed[0].Value) != 0 || listed[0].Stamp != first.Stamp {
 		t.Errorf("list %v, error %v", listed, err)
 	}
 
 	started.SetFaults(Faults{LoseAnswers: 1})
-	if _, _, err := client.CompareAndSwap(ctx, key, first.Version, []byte("two")); failure.CodeOf(err) != failure.OutcomeUnknown {
+	if _, _, err := client.CompareAndSwap(ctx, key, first.Stamp, []byte("two")); failure.CodeOf(err) != failure.OutcomeUnknown {
 		t.Errorf("answer lost after the write: %v", err)
 	}
 	if entry, _, err := client.Get(ctx, key); err != nil || string(entry.Value) != "two" {
@@ -56,7 +57,7 @@
 	if _, _, err := client.Get(ctx, key); failure.CodeOf(err) != failure.StoreUnavailable {
 		t.Errorf("read while down: %v", err)
 	}
-	if _, _, err := client.CompareAndSwap(ctx, key, 1, nil); failure.CodeOf(err) != failure.OutcomeUnknown {
+	if _, _, err := client.CompareAndSwap(ctx, key, platform.Stamp{Version: 1}, nil); failure.CodeOf(err) != failure.OutcomeUnknown {
 		t.Errorf("write while down: %v", err)
 	}
 	if _, err := client.Machines(ctx); failure.CodeOf(err) != failure.StoreUnavailable {
@@ -75,7 +76,7 @@
 	if _, _, err := client.Get(context.Background(), "k"); err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := client.CompareAndSwap(context.Background(), "k", 0, nil); failure.CodeOf(err) != failure.StoreUnavailable {
+	if _, _, err := client.CompareAndSwap(context.Background(), "k", platform.Stamp{}, nil); failure.CodeOf(err) != failure.StoreUnavailable {
 		t.Errorf("write over the limit: %v", err)
 	}
 }
@@ -101,12 +102,12 @@
 		})
 	}()
 	// The watch may not be registered yet: write until it tells.
-	for base := uint64(0); len(seen) == 0 && ctx.Err() == nil; time.Sleep(time.Millisecond) {
+	for base := (platform.Stamp{}); len(seen) == 0 && ctx.Err() == nil; time.Sleep(time.Millisecond) {
 		written, _, err := client.CompareAndSwap(ctx, platform.ServicePrefix+"lookup", base, []byte("v"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		base = written.Version
+		base = written.Stamp
 	}
 	if entry := <-seen; string(entry.Value) != "v" {
 		t.Errorf("event %v", entry)
@@ -220,3 +221,37 @@
 		}
 	}
 }
+
+// TestBaseOfAnotherEra: nothing is written over an entry that was read before the store came back from a copy, though its version is given out again.
+func TestBaseOfAnotherEra(t *testing.T) {
+	started, err := StartPlatform("127.0.0.1:0", PlatformOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer started.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	client := platform.NewClient(&http.Client{}, started.URL())
+	key := platform.ServicePrefix + "lookup"
+	var kept map[string]platform.Entry
+	started.Store(func(s *standin.Store) { kept = s.Copy() })
+	lost, _, err := client.CompareAndSwap(ctx, key, platform.Stamp{}, []byte("lost"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	started.Store(func(s *standin.Store) { s.RestoreAgain(kept) })
+	if _, swapped, err := client.CompareAndSwap(ctx, key, platform.Stamp{}, []byte("read before")); swapped || err != nil {
+		t.Errorf("an absent key of the earlier era is a base: %t, %v", swapped, err)
+	}
+	absent, found, err := client.Get(ctx, key)
+	if found || err != nil || absent.Era != 1 {
+		t.Errorf("read %+v, %t, %v", absent, found, err)
+	}
+	again, swapped, err := client.CompareAndSwap(ctx, key, absent.Stamp, []byte("again"))
+	if !swapped || err != nil || again.Version != lost.Version {
+		t.Fatalf("written %+v, %t, %v", again, swapped, err)
+	}
+	if _, swapped, err := client.CompareAndSwap(ctx, key, lost.Stamp, []byte("over it")); swapped || err != nil {
+		t.Errorf("a version of the earlier era is a base: %t, %v", swapped, err)
+	}
+}
--- a/internal/rehearsal/platform.go
+++ b/internal/rehearsal/platform.go
@@ -163,7 +163,7 @@
 }
 
 func toProto(entry platform.Entry) *stiletrailv1.Entry {
-	return &stiletrailv1.Entry{Key: entry.Key, Version: entry.Version, Value: entry.Value}
+	return &stiletrailv1.Entry{Key: entry.Key, Version: entry.Version, Era: entry.Era, Value: entry.Value}
 }
 
 // Get implements the key-value service.
@@ -173,7 +173,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	response := &stiletrailv1.GetResponse{}
+	response := &stiletrailv1.GetResponse{Era: p.store.Era()}
 	if entry, found := p.store.Get(request.Msg.GetKey()); found {
 		response.Entry = toProto(entry)
 	}
@@ -204,7 +204,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	entry, swapped := p.store.CompareAndSwap(request.Msg.GetKey(), request.Msg.GetBaseVersion(), request.Msg.GetValue())
+	entry, swapped := p.store.CompareAndSwap(request.Msg.GetKey(), platform.Stamp{Era: request.Msg.GetBaseEra(), Version: request.Msg.GetBaseVersion()}, request.Msg.GetValue())
 	if swapped {
 		if held := p.leases[request.Msg.GetLease()]; held != nil {
 			held.keys = append(held.keys, entry.Key)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -11,6 +11,7 @@
 
 	"stiletrail/internal/catalog"
 	"stiletrail/internal/failure"
+	"stiletrail/internal/platform"
 )
 
 // Timing of a rollout.
@@ -41,7 +42,7 @@
 type Request struct {
 	// Read the service's key.
 	Read bool
-	// Write the document over the entry version.
+	// Write the document over the entry that was read.
 	Write *Write
 	// Adopt a document that is in force, and hand it to peers: each answers with an ack.
 	Adopt *catalog.Document
@@ -51,8 +52,8 @@
 
 // Write is a compare-and-swap.
 type Write struct {
-	EntryVersion uint64
-	Document     catalog.Document
+	Base     platform.Stamp
+	Document catalog.Document
 }
 
 // Result is what the operator is told.
@@ -117,8 +118,8 @@
 	return r.deadline
 }
 
-// WasRead takes in the answer to a read.
-func (r *Rollout) WasRead(now time.Duration, outcome Outcome, entryVersion uint64, stored catalog.Document) []Request {
+// WasRead takes in the answer to a read: the stamp of the entry, and its document.
+func (r *Rollout) WasRead(now time.Duration, outcome Outcome, entry platform.Stamp, stored catalog.Document) []Request {
 	if r.phase != reading {
 		return nil
 	}
@@ -140,10 +141,10 @@
 		return r.conflict(current.Version)
 	}
 	current.Service = r.Service
-	r.document = current.Next(r.operation, r.specification, r.remove)
+	r.document = current.Next(entry.Era, r.operation, r.specification, r.remove)
 	r.phase = writing
 	r.wrote = true
-	return []Request{{Write: &Write{EntryVersion: entryVersion, Document: r.document}}}
+	return []Request{{Write: &Write{Base: entry, Document: r.document}}}
 }
 
 // WasWritten takes in the answer to a write. A swap that lost is read back: an earlier write of this very
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -6,6 +6,7 @@
 
 	"stiletrail/internal/catalog"
 	"stiletrail/internal/failure"
+	"stiletrail/internal/platform"
 )
 
 const operation = "op"
@@ -24,7 +25,7 @@
 }
 
 func (s *script) read(outcome Outcome, stored catalog.Document) {
-	s.requests = s.rollout.WasRead(s.now, outcome, stored.Version, stored)
+	s.requests = s.rollout.WasRead(s.now, outcome, platform.Stamp{Version: stored.Version}, stored)
 }
 
 func (s *script) wrote(outcome Outcome, swapped bool) {
@@ -147,11 +148,22 @@
 	}
 }
 
+// TestVersionsOfAnotherEra: in each era of the store versions go on from another number, above all before; within one they rise by one.
+func TestVersionsOfAnotherEra(t *testing.T) {
+	for _, c := range []struct{ era, held, want uint64 }{{0, 5, 6}, {2, 5, 2_000_000_001}, {2, 2_000_000_001, 2_000_000_002}, {2, 3_000_000_007, 3_000_000_008}} {
+		s := start(c.held, document(c.held))
+		s.requests = s.rollout.WasRead(s.now, Done, platform.Stamp{Era: c.era, Version: 3}, document(3))
+		if len(s.requests) != 1 || s.requests[0].Write == nil || s.requests[0].Write.Document.Version != c.want || s.requests[0].Write.Base.Era != c.era {
+			t.Errorf("era %d: requests %+v, want version %d", c.era, s.requests, c.want)
+		}
+	}
+}
+
 // TestStoreBehindIsWrittenOver: what is in force is the base, not the older copy in the store.
 func TestStoreBehindIsWrittenOver(t *testing.T) {
 	s := start(5, document(5, "newest"))
 	s.read(Done, document(3))
-	if len(s.requests) != 1 || s.requests[0].Write == nil || s.requests[0].Write.Document.Version != 6 || s.requests[0].Write.EntryVersion != 3 {
+	if len(s.requests) != 1 || s.requests[0].Write == nil || s.requests[0].Write.Document.Version != 6 || s.requests[0].Write.Base.Version != 3 {
 		t.Errorf("requests %+v", s.requests)
 	}
 }
--- a/internal/simulation/storecalls.go
+++ b/internal/simulation/storecalls.go
@@ -76,7 +76,7 @@
 
 // swap carries out a write and tells the watchers.
 func (w *World) swap(write engine.StoreWrite) bool {
-	entry, swapped := w.store.CompareAndSwap(platform.ServicePrefix+write.Document.Service, write.EntryVersion, write.Document.Encode())
+	entry, swapped := w.store.CompareAndSwap(platform.ServicePrefix+write.Document.Service, write.Base, write.Document.Encode())
 	w.note("swap", write.Document.Service, write.Document.Version, swapped)
 	if !swapped {
 		return false
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -11,17 +11,22 @@
 type Store struct {
 	entries map[string]platform.Entry
 	version uint64
+	era     uint64
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store { return &Store{entries: map[string]platform.Entry{}} }
 
-// Get returns the entry of a key.
+// Get returns the entry of a key; one that is not there has the era alone.
 func (s *Store) Get(key string) (platform.Entry, bool) {
 	entry, found := s.entries[key]
+	entry.Era = s.era
 	return entry, found
 }
 
+// Era of the store.
+func (s *Store) Era() uint64 { return s.era }
+
 // List returns the entries with a prefix, in the order of keys.
 func (s *Store) List(prefix string) []platform.Entry {
 	var entries []platform.Entry
@@ -34,14 +39,14 @@
 	return entries
 }
 
-// CompareAndSwap writes if the key is still at the base version, zero for absent.
-func (s *Store) CompareAndSwap(key string, base uint64, value []byte) (platform.Entry, bool) {
-	present := s.entries[key]
-	if present.Version != base {
+// CompareAndSwap writes if the key is still at the base, of version zero for absent.
+func (s *Store) CompareAndSwap(key string, base platform.Stamp, value []byte) (platform.Entry, bool) {
+	present, _ := s.Get(key)
+	if present.Stamp != base {
 		return present, false
 	}
 	s.version++
-	entry := platform.Entry{Key: key, Version: s.version, Value: value}
+	entry := platform.Entry{Key: key, Stamp: platform.Stamp{Era: s.era, Version: s.version}, Value: value}
 	s.entries[key] = entry
 	return entry, true
 }
@@ -58,10 +63,12 @@
 	return copied
 }
 
-// RestoreAgain puts an older copy in place whose versions are given out again from there on.
+// RestoreAgain puts an older copy in place whose versions are given out again from there on, in another era.
 func (s *Store) RestoreAgain(copied map[string]platform.Entry) {
 	s.entries, s.version = map[string]platform.Entry{}, 0
+	s.era++
 	for key, entry := range copied {
+		entry.Era = s.era
 		s.entries[key] = entry
 		s.version = max(s.version, entry.Version)
 	}
