--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -27,6 +27,7 @@
 	Route    string   `json:"route"`
 	Version  uint64   `json:"version"`
 	Revision uint64   `json:"revision"`
+	Era      uint64   `json:"era"`
 	Outcome  string   `json:"outcome"`
 	Reason   string   `json:"reason"`
 	BackEnd  string   `json:"back_end"`
@@ -173,6 +174,7 @@
 	}
 	add("version", known.Version, known.Version > 0)
 	add("revision", known.Revision, known.Revision > 0)
+	add("era", known.Era, known.Era > 0)
 	add("service", known.Service, known.Service != "")
 	add("zone", known.Zone, known.Zone != "")
 	add("back_end", known.BackEnd, known.BackEnd != "")
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -55,7 +55,7 @@
 
 // The kinds of call.
 const (
-	// List: read the page of keys after Call.After. Call.Revision is what was known before.
+	// List: read the page of keys after Call.After. Call.Revision is what was known before, or that of the first page.
 	List Kind = iota + 1
 	// Watch: wait for changes after Call.Revision.
 	Watch
@@ -149,7 +149,11 @@
 		return call
 	}
 	if !c.listed || c.listing {
-		return Call{Kind: List, After: c.after, Revision: c.revision, Timeout: c.timeout(c.settings.FirstTimeout)}
+		known := c.revision
+		if c.listing {
+			known = c.listedAt
+		}
+		return Call{Kind: List, After: c.after, Revision: known, Timeout: c.timeout(c.settings.FirstTimeout)}
 	}
 	turn := c.turnNext
 	c.turnNext = false
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -229,7 +229,13 @@
 	if call := core.Next(0, follow.Hearing{}); call.Kind != follow.List || call.After != "" {
 		t.Fatalf("goes on with %+v", call)
 	}
-	if core.Page(0, "b", history.At(2, 5), true) || core.Page(0, "d", history.At(3, 4), false) {
+	if core.Page(0, "b", history.At(2, 5), true) {
+		t.Error("a first page with more behind it is no whole listing")
+	}
+	if call := core.Next(0, follow.Hearing{}); call.Kind != follow.List || call.After != "b" || call.Revision != history.At(2, 5) {
+		t.Errorf("the next page is asked for with %+v", call)
+	}
+	if core.Page(0, "d", history.At(3, 4), false) {
 		t.Error("pages of two eras make a listing")
 	}
 	if call := core.Next(0, follow.Hearing{}); call.Kind != follow.List || call.After != "" {
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -143,7 +143,7 @@
 	now := g.now()
 	g.regained(now)
 	if call.After == "" {
-		g.noteReturn(g.follower.Revision(), page.At)
+		g.noteReturn(call.Revision, page.At)
 		clear(g.listedKeys)
 	}
 	g.noteOlder(page.Records)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -123,6 +123,12 @@
 	m.Journal.Rejected(item)
 }
 
+// Returned implements gateway.Journal.
+func (m *Metrics) Returned(era uint64) {
+	m.set.GetOrCreateCounter("stiletrail_store_returns_total").Inc()
+	m.Journal.Returned(era)
+}
+
 // Learned implements gateway.Journal.
 func (m *Metrics) Learned(from string, records int, revision history.Revision) {
 	m.set.GetOrCreateCounter("stiletrail_learned_from_peers_total").Inc()
