--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -144,7 +144,7 @@
 		return matterStore
 	case decisionlog.EventCopyStale, decisionlog.EventCopyFresh:
 		return matterCopy
-	case decisionlog.EventListed:
+	case decisionlog.EventListed, decisionlog.EventReturned:
 		return known.Event
 	case decisionlog.EventJudged:
 		if known.Mark != "" && known.Mark == request.Mark {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -16,7 +16,8 @@
 		`{"time":"03","event":"back_end","node":"n","service":"s","back_end":"b","outcome":"ready"}`,
 		`{"time":"04","event":"store_lost","node":"n","reason":"unavailable"}`,
 		`{"time":"05","event":"start","node":"n"}`,
-		`{"time":"06","event":"store_listed","node":"n","items":12,"revision":9}`,
+		`{"time":"06","event":"store_from_a_copy","node":"n","era":2}`,
+		`{"time":"06","event":"store_listed","node":"n","items":12,"revision":9,"era":2}`,
 		`{"time":"07","event":"configuration_in_force","node":"other","version":4}`,
 		`{"time":"08","event":"request","node":"n","request":"r","outcome":"NOT_READY","attempts":["s b first 0- open"]}`,
 	}, "\n")
@@ -25,7 +26,7 @@
 		t.Fatal(err)
 	}
 	want := []string{
-		"believed  04 n store_lost reason=unavailable", "believed  05 n start", "believed  06 n store_listed revision=9 items=12",
+		"believed  04 n store_lost reason=unavailable", "believed  05 n start", "believed  06 n store_from_a_copy era=2", "believed  06 n store_listed revision=9 era=2 items=12",
 		"request   08 n route= version=0", "attempt   s b first 0- open", "answered  NOT_READY after 0 ms",
 	}
 	if got := strings.Join(report.Lines, "\n"); got != strings.Join(want, "\n") {
