--- a/cmd/stiletrail/main.go
+++ b/cmd/stiletrail/main.go
@@ -65,6 +65,7 @@
 	addExecute(app, commands)
 	addCheckSettings(app, commands)
 	addExplain(app, commands)
+	addNodes(app, commands)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "stiletrail: %s, try --help\n", err)
--- /dev/null
+++ b/internal/overview/overview_test.go
@@ -0,0 +1,56 @@
+package overview_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"stiletrail/internal/failure"
+	"stiletrail/internal/overview"
+)
+
+const metrics = `stiletrail_ready 1
+stiletrail_configuration_version 21
+stiletrail_store_revision 68
+stiletrail_store_era 2
+stiletrail_copy_age_seconds 0.25
+stiletrail_nodes 6
+stiletrail_back_ends{state="ready"} 58
+stiletrail_back_ends{state="draining"} 2
+stiletrail_back_ends{state="cold"} 0
+stiletrail_zones_evacuated 1
+stiletrail_requests_quarantined 3
+`
+
+// TestRead: what a node tells is read; what is not a node's is a typed failure.
+func TestRead(t *testing.T) {
+	got, err := overview.Read("a:1", strings.NewReader(metrics))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !got.Ready || got.Version != 21 || got.Era != 2 || got.Revision != 68 || got.CopyAge != 250 || got.Nodes != 6 || got.EvacuatedZones != 1 || got.Quarantined != 3 {
+		t.Errorf("read %+v", got)
+	}
+	if len(got.BackEnds) != 2 || got.BackEnds["ready"] != 58 || got.BackEnds["draining"] != 2 {
+		t.Errorf("back ends %v", got.BackEnds)
+	}
+	for name, text := range map[string]string{"nothing": "", "another program's": "other 1\n", "no metrics": "<html>\n"} {
+		if _, err := overview.Read("a:1", strings.NewReader(text)); failure.CodeOf(err) != failure.Malformed {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// TestDifferences: nodes that agree differ in nothing; one that is behind is named; one that could not be asked says nothing.
+func TestDifferences(t *testing.T) {
+	a, b := overview.Node{Address: "a:1", Version: 28, Era: 2, Revision: 67}, overview.Node{Address: "b:1", Version: 28, Era: 2, Revision: 66}
+	away := overview.Node{Address: "c:1", Problem: "no answer"}
+	if lines := overview.Differences([]overview.Node{a, b, away}); len(lines) != 0 {
+		t.Errorf("differences %q", lines)
+	}
+	b.Version, b.Era = 21, 1
+	want := []string{"configuration in force: version 21 on b:1; version 28 on a:1", "the store: era 1 on b:1; era 2 on a:1"}
+	if lines := overview.Differences([]overview.Node{a, b, away}); !slices.Equal(lines, want) {
+		t.Errorf("differences %q, want %q", lines, want)
+	}
+}
