--- a/internal/mutation/era_test.go
+++ b/internal/mutation/era_test.go
@@ -40,7 +40,7 @@
 		"./internal/gateway", "TestDoubtLastsUntilWritten",
 	},
 	{
-		"back ends that had left come back with a copy", "internal/gateway/store.go",
+		"back ends that had left come back with a copy", "internal/gateway/era.go",
 		"	g.replicas.DoubtOld(now + g.settings.Load().DoubtOldFor)\n", "",
 		"./platform", "TestLostWithACopy",
 	},
@@ -50,7 +50,7 @@
 		"./platform", "TestLostWithACopy",
 	},
 	{
-		"a zone whose evacuation a copy lacks is taken back at once", "internal/gateway/store.go",
+		"a zone whose evacuation a copy lacks is taken back at once", "internal/gateway/era.go",
 		"if left := g.view.Unwritten(now); left > 0 {", "if left := g.view.Unwritten(now); left > 0 && now < 0 {",
 		"./platform", "TestLostWithACopy",
 	},
@@ -60,7 +60,7 @@
 		"./platform", "TestLostWithACopy",
 	},
 	{
-		"nodes that start are not told a configuration that a copy lacks", "internal/gateway/store.go",
+		"nodes that start are not told a configuration that a copy lacks", "internal/gateway/era.go",
 		"	if lost {\n		g.view.Keep(g.inForce)", "	if lost && key == \"\" {\n		g.view.Keep(g.inForce)",
 		"./platform", "TestLostWithACopy",
 	},
@@ -85,7 +85,7 @@
 		"./internal/gateway", "TestLiftedQuarantineComesBackWithACopy",
 	},
 	{
-		"what one node was let do is lost with a copy", "internal/gateway/store.go",
+		"what one node was let do is lost with a copy", "internal/gateway/era.go",
 		"	g.keeping.rewriteClaims()\n", "",
 		"./internal/gateway", "TestRetrialLostWithACopy",
 	},
