--- a/internal/mutation/quarantine_test.go
+++ b/internal/mutation/quarantine_test.go
@@ -72,7 +72,7 @@
 	{
 		"nodes do not tell each other of requests that end back ends", "internal/gateway/quarantine.go",
 		"if g.members == nil || len(marks) == 0 || !g.keeping.mayTell(now) {", "if true {",
-		"./internal/gateway", "TestRequestThatEndsBackEnds",
+		"./internal/gateway", "TestManyNodesKnowARequest",
 	},
 	{
 		"a quarantine is not kept in the store", "internal/gateway/store.go",
