--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -127,10 +127,14 @@
 	if entry.Draining {
 		state = "draining"
 	}
-	l.info(EventBackEnd, logrus.Fields{
+	fields := logrus.Fields{
 		fieldBackEnd: entry.ID, fieldService: entry.Service, fieldZone: entry.Zone,
 		fieldOutcome: state, fieldRevision: revision.Number, fieldEra: revision.Era,
-	})
+	}
+	if entry.StartedAt > 0 {
+		fields[fieldStarted] = entry.StartedAt
+	}
+	l.info(EventBackEnd, fields)
 }
 
 // Vanished implements gateway.DecisionLog.
--- a/internal/decisionlog/names.go
+++ b/internal/decisionlog/names.go
@@ -14,6 +14,8 @@
 	fieldReason   = "reason"
 	fieldOutcome  = "outcome"
 	fieldBackEnd  = "back_end"
+	// fieldStarted is the Unix millisecond at which a back end started, where it tells that.
+	fieldStarted  = "started_at_ms"
 	fieldService  = "service"
 	fieldZone     = "zone"
 	fieldAttempts = "attempts"
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -46,7 +46,7 @@
 
 // Request to be sent.
 type Request struct {
-	Address string
+	Endpoint
 	// Deadline bounds the exchange.
 	Deadline time.Time
 	// ConnectTimeout bounds the opening of a connection.
@@ -60,7 +60,7 @@
 	Prepare func() (*http.Request, error)
 	// MaximumBody bounds the answer in bytes.
 	MaximumBody int64
-	// MaximumIdle is how many connections to the address may be kept idle for later requests; one more is closed after its answer.
+	// MaximumIdle is how many connections to the endpoint may be kept idle for later requests; one more is closed after its answer.
 	MaximumIdle int
 	// IdleFor bounds how long it is idle, beside what the back end says; 0 does not.
 	IdleFor time.Duration
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -60,7 +60,7 @@
 
 func request(address string) exchange.Request {
 	return exchange.Request{
-		Address: address, Deadline: time.Now().Add(time.Minute), ConnectTimeout: time.Minute, MaximumBody: 1000, MaximumIdle: 8,
+		Endpoint: exchange.Endpoint{Address: address}, Deadline: time.Now().Add(time.Minute), ConnectTimeout: time.Minute, MaximumBody: 1000, MaximumIdle: 8,
 		Prepare: func() (*http.Request, error) {
 			return &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}, nil
 		},
@@ -249,16 +249,39 @@
 	})
 	pool := exchange.NewPool()
 	pool.Do(context.Background(), request(s.address()))
-	pool.Prune(func(string) bool { return true })
+	pool.Prune(func(exchange.Endpoint) bool { return true })
 	if pool.Open.Load() != 1 {
 		t.Error("a connection in use was closed")
 	}
-	pool.Prune(func(string) bool { return false })
+	pool.Prune(func(exchange.Endpoint) bool { return false })
 	if pool.Open.Load() != 0 {
 		t.Error("a connection out of use was kept")
 	}
 }
 
+// TestOtherProcess: a connection at rest to the process that an address had before is not used for the one that has it now.
+func TestOtherProcess(t *testing.T) {
+	s := serve(t, func(socket net.Conn, _ int64) bool {
+		respond(socket, "")
+		return true
+	})
+	pool := exchange.NewPool()
+	for opened, process := range []string{"x@1", "x@1", "x@2"} {
+		r := request(s.address())
+		r.Process = process
+		if result := pool.Do(context.Background(), r); result.Stage != exchange.Answered {
+			t.Fatalf("%v", result.Err)
+		}
+		if want := int64(max(opened, 1)); pool.Opened.Load() != want {
+			t.Errorf("%d connections opened after a request to %s, want %d", pool.Opened.Load(), process, want)
+		}
+	}
+	pool.Prune(func(e exchange.Endpoint) bool { return e.Process == "x@2" })
+	if pool.Open.Load() != 1 {
+		t.Errorf("%d connections are open, want that to the process in use", pool.Open.Load())
+	}
+}
+
 // TestAnswerTooLarge: an answer beyond the limit is no whole answer.
 func TestAnswerTooLarge(t *testing.T) {
 	s := serve(t, func(socket net.Conn, _ int64) bool {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -13,12 +13,19 @@
 // A new connection costs it only a way there and back; without an answer it is lost.
 const defaultProvenWithin = 250 * time.Millisecond
 
-// Pool keeps idle connections by address. It is safe for concurrent use.
+// Endpoint is a process at an address. Another process may take the address over: connections to the one before are not used
+// for it.
+type Endpoint struct {
+	Address string
+	Process string
+}
+
+// Pool keeps idle connections by endpoint. It is safe for concurrent use.
 type Pool struct {
 	// clock counts how long connections are idle, also while the machine is suspended: back ends close them meanwhile.
 	clock clock.Clock
 	mutex sync.Mutex
-	idle  map[string][]*connection
+	idle  map[Endpoint][]*connection
 	// Opened counts connections opened since the start; Open is how many there are.
 	Opened atomic.Int64
 	Open   atomic.Int64
@@ -32,13 +39,13 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{clock: clock.Start(), idle: map[string][]*connection{}, proofSlack: defaultProofSlack, provenWithin: defaultProvenWithin}
+	return &Pool{clock: clock.Start(), idle: map[Endpoint][]*connection{}, proofSlack: defaultProofSlack, provenWithin: defaultProvenWithin}
 }
 
 // connect takes an idle connection that is still sound, or opens one.
 func (p *Pool) connect(ctx context.Context, request Request) (*connection, error) {
 	for {
-		kept := p.take(request.Address)
+		kept := p.take(request.Endpoint)
 		if kept == nil {
 			return p.open(ctx, request)
 		}
@@ -50,15 +57,15 @@
 	}
 }
 
-func (p *Pool) take(address string) *connection {
+func (p *Pool) take(to Endpoint) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	idle := p.idle[address]
+	idle := p.idle[to]
 	if len(idle) == 0 {
 		return nil
 	}
 	last := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
+	p.idle[to] = idle[:len(idle)-1]
 	return last
 }
 
@@ -70,9 +77,9 @@
 		c.idleFor = min(c.idleFor, request.IdleFor)
 	}
 	p.mutex.Lock()
-	kept := len(p.idle[request.Address]) < request.MaximumIdle
+	kept := len(p.idle[request.Endpoint]) < request.MaximumIdle
 	if kept {
-		p.idle[request.Address] = append(p.idle[request.Address], c)
+		p.idle[request.Endpoint] = append(p.idle[request.Endpoint], c)
 	}
 	p.mutex.Unlock()
 	if !kept {
@@ -80,13 +87,13 @@
 	}
 }
 
-// Prune closes connections that have been idle as long as they may, and all to addresses that are no longer in use.
-func (p *Pool) Prune(inUse func(address string) bool) {
+// Prune closes connections that have been idle as long as they may, and all to endpoints that are no longer in use.
+func (p *Pool) Prune(inUse func(Endpoint) bool) {
 	now := p.clock.Elapsed()
 	var stale []*connection
 	p.mutex.Lock()
-	for address, idle := range p.idle {
-		used := inUse(address)
+	for endpoint, idle := range p.idle {
+		used := inUse(endpoint)
 		kept := idle[:0]
 		for _, c := range idle {
 			if used && !c.idleTooLong(now) {
@@ -96,9 +103,9 @@
 			}
 		}
 		clear(idle[len(kept):])
-		p.idle[address] = kept
+		p.idle[endpoint] = kept
 		if len(kept) == 0 {
-			delete(p.idle, address)
+			delete(p.idle, endpoint)
 		}
 	}
 	p.mutex.Unlock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -49,8 +49,8 @@
 // BackEnds carries out attempts. One attempt reaches a back end at most once.
 type BackEnds interface {
 	Exchange(ctx context.Context, send Send) forward.Outcome
-	// Prune closes idle connections to addresses that no back end has any more.
-	Prune(inUse func(address string) bool)
+	// Prune closes idle connections to endpoints that no back end has any more.
+	Prune(inUse func(replica.Endpoint) bool)
 }
 
 // Result is the answer to a call.
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -225,7 +225,7 @@
 }
 
 // Prune implements gateway.BackEnds.
-func (b *fakeBackEnds) Prune(func(string) bool) {}
+func (b *fakeBackEnds) Prune(func(replica.Endpoint) bool) {}
 
 // Exchange implements gateway.BackEnds.
 func (b *fakeBackEnds) Exchange(ctx context.Context, send gateway.Send) forward.Outcome {
--- a/internal/gateway/maintain.go
+++ b/internal/gateway/maintain.go
@@ -44,9 +44,9 @@
 
 // prune closes idle connections that have rested long enough or that nobody will use.
 func (g *Gateway) prune() {
-	addresses := map[string]bool{}
+	endpoints := map[replica.Endpoint]bool{}
 	g.mu.Lock()
-	g.replicas.All(func(known *replica.Replica) { addresses[known.Address] = !known.Draining })
+	g.replicas.All(func(known *replica.Replica) { endpoints[known.Endpoint()] = !known.Draining })
 	g.mu.Unlock()
-	g.backEnds.Prune(func(address string) bool { return addresses[address] })
+	g.backEnds.Prune(func(e replica.Endpoint) bool { return endpoints[e] })
 }
--- a/internal/gateway/run_node.go
+++ b/internal/gateway/run_node.go
@@ -52,7 +52,7 @@
 		return quarantine.Clear
 	}
 	verdict, change := g.quarantine.Ended(now, n.run.call.Identity, quarantine.Run{
-		Service: attempt.Service, BackEnd: attempt.Replica.ID, Version: attempt.Replica.Version,
+		Service: attempt.Service, BackEnd: attempt.Replica.Incarnation(), Version: attempt.Replica.Version,
 		Began: clock.Of(attempt.StartedAt), Ended: clock.Of(attempt.EndedAt),
 	})
 	if change.First && n.run.route.FansOut() {
--- a/internal/gateway/store_changes.go
+++ b/internal/gateway/store_changes.go
@@ -66,9 +66,14 @@
 	switch content := item.Content.(type) {
 	case nil:
 	case BackEnd:
-		if content.Entry != nil {
-			g.putBackEnd(now, *content.Entry, item.Revision)
+		if content.Entry == nil {
+			// Whether the back end lives that the key named before, and where, nobody knows now.
+			if g.replicas.Remove(now, content.ID, now) {
+				g.log.Vanished(content.ID, true)
+			}
+			return
 		}
+		g.putBackEnd(now, *content.Entry, item.Revision)
 	case Evacuation:
 		if content.Zone != "" && g.replicas.EvacuateZone(content.Zone) {
 			g.log.Evacuated(content.Zone, item.Revision)
--- a/internal/gateway/store_item.go
+++ b/internal/gateway/store_item.go
@@ -15,7 +15,7 @@
 	Gone     bool
 	// Content is what the item says; nil where that is of no interest.
 	Content Content
-	// Err says why an item could not be read; what was known of it before stays in force.
+	// Err says why an item could not be read. A configuration that was known before stays in force; a back end gets nothing more.
 	Err error
 }
 
--- a/internal/healthreport/healthreport.go
+++ b/internal/healthreport/healthreport.go
@@ -39,7 +39,7 @@
 
 // Report is what a node met at a back end.
 type Report struct {
-	// BackEnd is the hash of its id, so that one that was started again is another one.
+	// BackEnd is the hash of its incarnation, so that one that was started again is another one.
 	BackEnd uint64
 	// Slowdown is how long work takes there as a multiple of the usual; Faults is the share of recent attempts that failed.
 	Slowdown float64
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -36,14 +36,49 @@
 	},
 	{
 		"vanished entries are used for ever", "internal/replica/doubt.go",
-		"	if until <= now {\n		s.noteDeparted(now, id)\n		s.forget(known)\n		return true\n	}\n", "",
+		"	if until <= now {\n		s.noteDeparted(now, known)\n		s.forget(known)\n		return true\n	}\n", "",
 		"./internal/replica", "TestVanished",
 	},
 	{
 		"an entry that lapsed in an outage is gone at once", "internal/replica/doubt.go",
-		"	if until <= now {\n		s.noteDeparted(now, id)", "	if true {\n		s.noteDeparted(now, id)",
+		"	if until <= now {\n		s.noteDeparted(now, known)", "	if true {\n		s.noteDeparted(now, known)",
 		"./internal/gateway", "TestLapsedEntries",
 	},
+	{
+		"an entry of an earlier start counts", "internal/replica/set.go",
+		"	case entry.startedBefore(known.Entry):\n		return false\n", "",
+		"./internal/replica", "TestEarlierStartIsOld",
+	},
+	{
+		"an earlier start of one that left comes back", "internal/replica/departed.go",
+		"	case entry.startedBefore(known.last):\n		return entry, false\n", "",
+		"./internal/replica", "TestEarlierStartIsOld",
+	},
+	{
+		"a back end that starts again is the one before", "internal/replica/set.go",
+		"	case entry.startedAfter(known.Entry), entry.Service", "	case entry.Service",
+		"./internal/replica", "TestStartedAgain",
+	},
+	{
+		"a start that leaves comes back as ready", "internal/replica/departed.go",
+		"	entry.Draining = entry.Draining || known.last.Draining && entry.StartedAt != 0\n", "",
+		"./internal/replica", "TestLeavingIsFinalWithinAStart",
+	},
+	{
+		"connections to an earlier start are used", "internal/exchange/pool.go",
+		"	idle := p.idle[to]\n	if len(idle) == 0", "	for e := range p.idle {\n		if e.Address == to.Address {\n			to = e\n		}\n	}\n	idle := p.idle[to]\n	if len(idle) == 0",
+		"./internal/exchange", "TestOtherProcess",
+	},
+	{
+		"entries of other writers are used", "platform/entry.go",
+		"	if wrong := document.wrong(); wrong != \"\" {", "	if wrong := \"\"; wrong != \"\" {",
+		"./platform", "TestBrokenEntryNamesNoBackEnd",
+	},
+	{
+		"a back end whose entry is broken is used on", "internal/gateway/store_changes.go",
+		"			if g.replicas.Remove(now, content.ID, now) {\n", "			if false {\n",
+		"./platform", "TestBrokenEntryHarmsNoOther",
+	},
 	{
 		"an older configuration is put in force", "internal/gateway/store_changes.go",
 		"	if current != nil && configuration.Version <= current.Version() {", "	if current != nil && current.Version() == 0 {",
@@ -273,7 +308,7 @@
 	},
 	{
 		"any number of connections rests", "internal/exchange/pool.go",
-		"kept := len(p.idle[request.Address]) < request.MaximumIdle", "kept := true",
+		"kept := len(p.idle[request.Endpoint]) < request.MaximumIdle", "kept := true",
 		"./internal/exchange", "TestMaximumIdle",
 	},
 	{
--- a/internal/replica/departed.go
+++ b/internal/replica/departed.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// A back end that has left never comes back by its id; what may still name it is an old copy of the store, from which
-// it is no longer renewed.
+// A start of a back end that has left never comes back; what may still name it is an old copy of the store, from which it is no
+// longer renewed. A later start under its id is another back end.
 const (
 	// departedFor is how long it is remembered that a back end has left: the copies that a store comes back from are
 	// some seconds old.
@@ -15,6 +15,8 @@
 // departed is a back end that has left, as the store said.
 type departed struct {
 	at time.Duration
+	// last is its entry when it left.
+	last Entry
 	// putAside: the store names it again since, by entry.
 	putAside bool
 	entry    Entry
@@ -25,31 +27,40 @@
 func (s *Set) DistrustDeparted(until time.Duration) { s.distrustedUntil = until }
 
 // noteDeparted remembers that a back end has left.
-func (s *Set) noteDeparted(now time.Duration, id string) {
+func (s *Set) noteDeparted(now time.Duration, left *Replica) {
 	if len(s.departed) < mostDeparted {
-		s.departed[id] = departed{at: now}
+		s.departed[left.ID] = departed{at: now, last: left.Entry}
 	}
 }
 
-// putAside reports whether an entry may be an old one of a back end that has left, and keeps it for Readmit if so.
-func (s *Set) putAside(now time.Duration, entry Entry) bool {
+// sinceDeparture gives an entry as it counts after what is remembered of back ends that have left, and whether it counts now.
+// One that may be old is kept for Readmit.
+func (s *Set) sinceDeparture(now time.Duration, entry Entry) (counts Entry, current bool) {
 	known, found := s.departed[entry.ID]
-	if !found {
-		return false
+	switch {
+	case !found:
+		return entry, true
+	case entry.startedBefore(known.last):
+		return entry, false
+	case entry.startedAfter(known.last):
+		delete(s.departed, entry.ID)
+		return entry, true
 	}
+	// Without a start nothing tells whether it is the back end that left or one that started since.
+	entry.Draining = entry.Draining || known.last.Draining && entry.StartedAt != 0
 	if now >= s.distrustedUntil {
 		delete(s.departed, entry.ID)
-		return false
+		return entry, true
 	}
 	known.putAside, known.entry = true, entry
 	s.departed[entry.ID] = known
-	return true
+	return entry, false
 }
 
 // dropPutAside takes in that an entry has vanished that was put aside.
 func (s *Set) dropPutAside(id string) {
 	if known, found := s.departed[id]; found && known.putAside {
-		s.departed[id] = departed{at: known.at}
+		s.departed[id] = departed{at: known.at, last: known.last}
 	}
 }
 
--- a/internal/replica/doubt.go
+++ b/internal/replica/doubt.go
@@ -19,7 +19,7 @@
 		return false
 	}
 	if until <= now {
-		s.noteDeparted(now, id)
+		s.noteDeparted(now, known)
 		s.forget(known)
 		return true
 	}
@@ -36,7 +36,7 @@
 	for id, known := range s.byID {
 		if known.doubt.doubtful && now >= known.doubt.until {
 			expired = append(expired, id)
-			s.noteDeparted(now, id)
+			s.noteDeparted(now, known)
 			s.forget(known)
 		}
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,12 +1,18 @@
 package replica
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Entry is a back end as the discovery service tells it.
 type Entry struct {
-	// ID names one incarnation of a back end.
-	ID      string
-	Service string
+	// ID names a back end; it may start again under it.
+	ID string
+	// StartedAt is the Unix millisecond at which the back end started, 0 where it does not tell that. Another start under the same
+	// id is another back end, which knows nothing of the one before.
+	StartedAt int64
+	Service   string
 	// Address is an IP address and port; another incarnation may have it later.
 	Address string
 	Zone    string
@@ -19,10 +25,36 @@
 	ColdFor time.Duration
 }
 
-// Replica is a back end with what attempts at it have shown.
+// Incarnation names one start of a back end: what counts by who a back end is counts by it.
+func (e Entry) Incarnation() string {
+	if e.StartedAt == 0 {
+		return e.ID
+	}
+	return e.ID + "@" + strconv.FormatInt(e.StartedAt, 10)
+}
+
+// Endpoint is where one start of a back end takes requests.
+type Endpoint struct {
+	Address     string
+	Incarnation string
+}
+
+// Endpoint of the back end.
+func (e Entry) Endpoint() Endpoint { return Endpoint{Address: e.Address, Incarnation: e.Incarnation()} }
+
+// startedBefore reports whether an entry of the same id is of an earlier start than another: it is old, whenever it comes.
+func (e Entry) startedBefore(other Entry) bool {
+	return e.StartedAt != 0 && e.StartedAt < other.StartedAt
+}
+
+// startedAfter reports whether an entry of the same id is of a later start than another. One that tells no start is of the one
+// that is known.
+func (e Entry) startedAfter(other Entry) bool { return e.StartedAt > other.StartedAt }
+
+// Replica is one incarnation of a back end with what attempts at it have shown.
 type Replica struct {
 	Entry
-	// key is the hash of the id, by which nodes tell each other of the replica.
+	// key is the hash of the incarnation, by which nodes tell each other of the replica.
 	key uint64
 	// affinity of this node to the replica, by which the node's subset is chosen.
 	affinity      uint64
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -73,30 +73,44 @@
 // Draw returns a random number from 0 to 1, of the set's own source.
 func (s *Set) Draw() float64 { return s.random.Float64() }
 
-// Put takes in an entry as it is now. It reports whether anything changed that a choice goes by. A back end that leaves
-// does not change its mind: an entry that says otherwise is older, from a copy of the store or a write that was held
-// up.
+// Put takes in an entry as it is now. It reports whether anything changed that a choice goes by. One of an earlier start of the
+// back end is old, whenever it comes: from a copy of the store, by a peer, or by a write that was held up. One of a later start
+// is another back end, of which nothing is known.
 func (s *Set) Put(now time.Duration, entry Entry) bool {
 	known := s.byID[entry.ID]
-	if known == nil && s.putAside(now, entry) {
-		return false
-	}
-	if known != nil && known.Service == entry.Service {
-		return s.update(now, known, entry)
+	if known == nil {
+		return s.putUnknown(now, entry)
 	}
-	if known != nil {
+	switch {
+	case entry.startedBefore(known.Entry):
+		return false
+	case entry.startedAfter(known.Entry), entry.Service != known.Service:
 		s.forget(known)
+		s.add(now, entry)
+		return true
+	}
+	return s.update(now, known, entry)
+}
+
+// putUnknown takes in an entry whose id no replica has, unless it is an old one of a back end that has left.
+func (s *Set) putUnknown(now time.Duration, entry Entry) bool {
+	entry, current := s.sinceDeparture(now, entry)
+	if current {
+		s.add(now, entry)
 	}
-	s.add(now, entry)
-	return true
+	return current
 }
 
-// update takes in another entry of a replica, and reports whether anything changed that a choice goes by.
+// update takes in another entry of a replica, and reports whether anything changed that a choice goes by. A back end that
+// leaves does not change its mind, and what answered for it at another address says nothing of this one.
 func (s *Set) update(now time.Duration, known *Replica, entry Entry) bool {
 	entry.Draining = entry.Draining || known.Draining
-	changed := known.Draining != entry.Draining || known.Address != entry.Address || known.Doubtful()
+	entry.StartedAt = known.StartedAt
+	moved := known.Address != entry.Address
+	changed := known.Draining != entry.Draining || moved || known.Doubtful()
 	known.Entry = entry
 	known.doubt.doubtful = false
+	known.misdirected = known.misdirected && !moved
 	known.cold.until = now + entry.ColdFor
 	s.locate(known)
 	if changed {
@@ -107,7 +121,7 @@
 
 func (s *Set) add(now time.Duration, entry Entry) {
 	added := &Replica{
-		Entry: entry, key: xxhash.Sum64String(entry.ID), affinity: affinity(s.places.Node, entry.ID),
+		Entry: entry, key: xxhash.Sum64String(entry.Incarnation()), affinity: affinity(s.places.Node, entry.ID),
 		latency: latency{sampledAt: now}, cold: coldPhase{until: now + entry.ColdFor},
 		withdrawnFactor: s.settings.WithdrawnFactor, useSlowdown: s.settings.UseSlowdown,
 	}
