--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -47,6 +47,8 @@
 	RetryAfter time.Duration
 	// Response is the back end's answer, with Answered and Failed.
 	Response *Response
+	// BlamesRequest, with Failed: the back end says that the request is at fault. It is believed unless another one answers it.
+	BlamesRequest bool
 	// ConnectionTurnedAway: the back end ended a connection that had carried no answer yet, as it does with those over its
 	// limit.
 	ConnectionTurnedAway bool
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,6 +75,11 @@
 	switch outcome.Kind {
 	case forward.Answered:
 		return replica.Answered
+	case forward.Failed:
+		if outcome.BlamesRequest {
+			return replica.Neutral
+		}
+		return replica.Failed
 	case forward.Refused:
 		if outcome.Load.HasRoom() {
 			return replica.RefusedWithRoom
--- a/internal/gateway/run_node.go
+++ b/internal/gateway/run_node.go
@@ -78,6 +78,7 @@
 func (n runNode) Answered(attempt *forward.Attempt) {
 	g, now := n.gateway, clock.Of(n.now)
 	n.run.evidencePending = false
+	n.blameBackEnds(attempt.Shard)
 	change := g.quarantine.Answered(now, n.run.call.Identity, attempt.Service, attempt.Replica.Version)
 	for _, mark := range change.Judged {
 		_, held := g.quarantine.Held(now, mark)
@@ -85,3 +86,16 @@
 	}
 	g.verdictsChanged(now, change, byOwn)
 }
+
+// blameBackEnds takes in that a request was answered at a shard: replicas there that said that it is at fault have failed it.
+func (n runNode) blameBackEnds(shard int) {
+	for _, attempt := range n.run.request.Attempts() {
+		if attempt.Shard != shard || !attempt.Outcome.BlamesRequest {
+			continue
+		}
+		if attempt.Replica.Contradicted(n.now) {
+			n.gateway.log.Ejected(attempt, attempt.Outcome)
+		}
+		n.gateway.reportHealth(n.now, attempt.Replica)
+	}
+}
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -69,6 +69,16 @@
 		"	idle := p.idle[to]\n	if len(idle) == 0", "	for e := range p.idle {\n		if e.Address == to.Address {\n			to = e\n		}\n	}\n	idle := p.idle[to]\n	if len(idle) == 0",
 		"./internal/exchange", "TestOtherProcess",
 	},
+	{
+		"an answer that a caller asked for ejects its back end", "internal/gateway/attempt.go",
+		"		if outcome.BlamesRequest {\n", "		if false {\n",
+		"./platform", "TestAnswerThatACallerAskedFor",
+	},
+	{
+		"a back end that blames requests is believed", "internal/gateway/run_node.go",
+		"	n.blameBackEnds(attempt.Shard)\n", "",
+		"./platform", "TestBackEndThatBlamesRequests",
+	},
 	{
 		"entries of other writers are used", "platform/entry.go",
 		"	if wrong := document.wrong(); wrong != \"\" {", "	if wrong := \"\"; wrong != \"\" {",
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -165,3 +165,10 @@
 	}
 	return false
 }
+
+// Contradicted takes in that another replica has answered what this one said is the request's fault. It reports whether the
+// replica was ejected by it.
+func (r *Replica) Contradicted(now time.Duration) (ejected bool) {
+	r.faults.note(now, 1)
+	return r.ejection.failed(now)
+}
