--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -26,6 +26,8 @@
 
 // fakeStore is a store in memory. Watches wait on the virtual clock.
 type fakeStore struct {
+	// padding is how many bytes each value has more.
+	padding int
 	mutex   sync.Mutex
 	items   map[string]message.StoreRecord
 	history []message.StoreRecord
@@ -65,7 +67,7 @@
 	defer s.mutex.Unlock()
 	record := message.StoreRecord{Key: item.Key, Gone: item.Gone}
 	if !item.Gone {
-		record.Value = []byte(fmt.Sprint("value ", len(s.meanings)+1))
+		record.Value = fmt.Appendf(nil, "value %d%*s", len(s.meanings)+1, s.padding, "")
 		s.meanings[string(record.Value)] = item
 	}
 	s.written[record.Key] = record
--- a/internal/gateway/store_changes.go
+++ b/internal/gateway/store_changes.go
@@ -207,6 +207,9 @@
 		c.reader.Advance(c.records.Revision())
 		g.noteListed()
 		g.log.Learned(from, len(received.Records)+len(received.Gone), c.records.Revision())
+		if told, ok := m.(*message.StoreRecords); ok {
+			g.relay(from, told)
+		}
 	}
 	g.sendSpread(received.Sends)
 }
--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -21,6 +21,26 @@
 	mutex sync.Mutex
 	all   int
 	far   int
+	// began is when the windows began; windows has what each node sent in each.
+	began   time.Time
+	windows map[nodeWindow]int
+}
+
+// trafficWindow is the time over which it is looked how much a node sends at once.
+const trafficWindow = 250 * time.Millisecond
+
+// nodeWindow is one window of one node.
+type nodeWindow struct{ node, number int }
+
+// busiest gives the most that a node has sent in a window since the last call.
+func (t *traffic) busiest() (most int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, sent := range t.windows {
+		most = max(most, sent)
+	}
+	clear(t.windows)
+	return most
 }
 
 // countedEnd is an end of the network whose messages are counted. A node's region is its number modulo the regions.
@@ -39,6 +59,7 @@
 	size := len(message.Encode(m))
 	e.traffic.mutex.Lock()
 	e.traffic.all += size
+	e.traffic.windows[nodeWindow{e.number, int(time.Since(e.traffic.began) / trafficWindow)}] += size
 	if number%trafficRegions != e.number%trafficRegions {
 		e.traffic.far += size
 	}
@@ -49,7 +70,7 @@
 // startMany starts many nodes at once in the regions, whose messages are counted.
 func startMany(nodes int, backEnds *fakeBackEnds) (*cluster, *traffic) {
 	c := &cluster{store: newStore(), network: newNetwork()}
-	sent := &traffic{}
+	sent := &traffic{began: time.Now(), windows: map[nodeWindow]int{}}
 	for i := range nodes {
 		loaded := settings.DefaultGateway()
 		loaded.Zone = fmt.Sprint("zone-", i%trafficRegions)
--- a/internal/gateway/watch_assignment.go
+++ b/internal/gateway/watch_assignment.go
@@ -24,6 +24,8 @@
 	// receivers are the nodes that it sends changes to; notified are only told that there are some, and ask if nobody sends them.
 	receivers []string
 	notified  []string
+	// relay is this node's place among the receivers of one of the watchers, where it does not watch.
+	relay relayPlace
 	// turn among the watchers, and how many there are.
 	turn, watchers int
 }
@@ -41,22 +43,30 @@
 		shared: f.nodes > 0 && len(watchers) < len(group), turn: slices.Index(watchers, self.Address), watchers: len(watchers),
 	}
 	a.watches = a.turn >= 0
+	slices.Sort(group)
 	if !a.watches {
+		a.relay = relayPlaceOf(self.Address, group, watchers)
 		return a
 	}
-	slices.Sort(group)
-	for i, address := range group {
-		switch {
-		case address == self.Address:
-		case !slices.Contains(watchers, address) && i%len(watchers) == a.turn:
-			a.receivers = append(a.receivers, address)
-		default:
+	a.receivers = receiversOf(a.turn, group, watchers)
+	for _, address := range group {
+		if address != self.Address && !slices.Contains(a.receivers, address) {
 			a.notified = append(a.notified, address)
 		}
 	}
 	return a
 }
 
+// receiversOf gives the nodes of a group, in the order of their addresses, to which the watcher of a turn sends changes.
+func receiversOf(turn int, group, watchers []string) (receivers []string) {
+	for i, address := range group {
+		if i%len(watchers) == turn && !slices.Contains(watchers, address) {
+			receivers = append(receivers, address)
+		}
+	}
+	return receivers
+}
+
 // phase gives this node's turn in a period that the watchers share, with each some time after the one before it. Both are 0
 // where it watches alone or not at all.
 func (a *watchAssignment) phase(tellEvery clock.Ms) (period, phase time.Duration) {
@@ -90,8 +100,11 @@
 	c, watch := g.storeCopy, &g.fleet.watch
 	c.records.Confirm(now)
 	c.logStaleness(now)
-	if watch.watches && g.settings.Load().Fleet.PeerCopies {
-		g.sendSpread(c.records.Tell(now, watch.receivers, since, records))
-		g.sendSpread(c.records.Tell(now, watch.notified, since, nil))
+	if !watch.watches || !g.settings.Load().Fleet.PeerCopies {
+		return
 	}
+	direct, relayed := relayRoot(watch.receivers, records)
+	g.sendSpread(c.records.Tell(now, direct, since, records))
+	g.sendSpread(c.records.Tell(now, relayed, since, nil))
+	g.sendSpread(c.records.Tell(now, watch.notified, since, nil))
 }
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -79,6 +79,16 @@
 		"	n.blameBackEnds(attempt.Shard)\n", "",
 		"./platform", "TestBackEndThatBlamesRequests",
 	},
+	{
+		"a large change is told to all at once", "internal/gateway/relay.go",
+		"	if !isLarge(records, len(receivers)) {", "	if true {",
+		"./internal/gateway", "TestLargeChangeLeavesRoomOnLinks",
+	},
+	{
+		"a large change is passed on by nobody", "internal/gateway/relay.go",
+		"	for _, child := range place.children {", "	for _, child := range place.children[:0] {",
+		"./internal/gateway", "TestLargeChangeIsPassedOnSoon",
+	},
 	{
 		"a request's time counts from when it was read", "internal/gateway/serve.go",
 		"	return min(read, g.clock.Moment(call.Arrived))", "	return read",
@@ -216,7 +226,7 @@
 	},
 	{
 		"watchers are not told by each other", "internal/gateway/watch_assignment.go",
-		"		default:\n			a.notified", "		case !slices.Contains(watchers, address):\n			a.notified",
+		"!slices.Contains(a.receivers, address) {", "!slices.Contains(a.receivers, address) && !slices.Contains(watchers, address) {",
 		"./internal/gateway", "TestCallsFallWithNodes",
 	},
 	{
