--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,4 @@
 # A round each of four seeds, two minutes and a half: connections that fall silent, one with which the checker once was wrong, a request that ends back ends, and
 # a store that comes back from a copy.
 soak-short:
-	SOAK_SEED=26,146,1,3002 SOAK_ROUNDS=1 go test -count=1 -timeout 10m -tags soak -run 'TestSoak|TestRuns' ./platform/soak
+	SOAK_SEED=26,146,1,3002 SOAK_ROUNDS=1 go test -count=1 -timeout 10m -tags soak -run 'TestSoak|TestRuns|TestLateness' ./platform/soak
