--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,7 +14,7 @@
 //     store, store_changes.go takes in what they and peers bring, store_waits.go derives the waits, store_item.go and store.go
 //     are the store as the adapter offers it, first_listing.go is a node that starts.
 //   - fleet.go: fleet, the other nodes; peers.go exchanges messages with them. watch_assignment.go says who watches the store for
-//     whom, fleet_share.go divides what nodes share: connections, cold back ends, the retry slack.
+//     whom, tell_tree.go who passes a large change on, fleet_share.go divides what nodes share: connections, cold back ends, the retry slack.
 //   - quarantine_writes.go: quarantineWrites, what is to be written to the store of quarantines, and claims of retrials.
 //     quarantine_evidence.go: evidenceSchedule, when other nodes are told.
 //   - health_reports.go: healthReports, what other nodes are told of slow and faulty back ends.
--- a/internal/gateway/store_changes.go
+++ b/internal/gateway/store_changes.go
@@ -208,7 +208,7 @@
 		g.noteListed()
 		g.log.Learned(from, len(received.Records)+len(received.Gone), c.records.Revision())
 		if told, ok := m.(*message.StoreRecords); ok {
-			g.relay(from, told)
+			g.passOn(from, told)
 		}
 	}
 	g.sendSpread(received.Sends)
--- a/internal/gateway/relay_tree_test.go
+++ b/internal/gateway/tell_tree_test.go
@@ -8,9 +8,9 @@
 	"stiletrail/internal/spread"
 )
 
-// TestRelayTreeReachesEachNodeOnce: with any number of nodes, each that does not watch has one node above it in the tree of one watcher, which has it among
-// those below, and nobody sends a large change to more than relayFanout.
-func TestRelayTreeReachesEachNodeOnce(t *testing.T) {
+// TestTellTreeReachesEachNodeOnce: with any number of nodes, each that does not watch has one node above it in the tree of one watcher, which has it among
+// those below, and nobody sends a large change to more than treeFanout.
+func TestTellTreeReachesEachNodeOnce(t *testing.T) {
 	for nodes := 7; nodes < 800; nodes += 1 + nodes/20 {
 		var group []string
 		for i := range nodes {
@@ -20,7 +20,7 @@
 		watchers := spread.Watchers(group, 3)
 		above := map[string]string{}
 		give := func(from string, children []string) {
-			if len(children) > relayFanout {
+			if len(children) > treeFanout {
 				t.Fatalf("%d nodes: %s sends to %d", nodes, from, len(children))
 			}
 			for _, child := range children {
@@ -32,15 +32,15 @@
 		}
 		for turn, watcher := range watchers {
 			receivers := receiversOf(turn, group, watchers)
-			give(watcher, receivers[:min(relayFanout, len(receivers))])
+			give(watcher, receivers[:min(treeFanout, len(receivers))])
 		}
 		for _, node := range group {
 			if !slices.Contains(watchers, node) {
-				give(node, relayPlaceOf(node, group, watchers).children)
+				give(node, treePlaceOf(node, group, watchers).children)
 			}
 		}
 		for _, node := range group {
-			if got := relayPlaceOf(node, group, watchers).parent; !slices.Contains(watchers, node) && (got == "" || got != above[node]) {
+			if got := treePlaceOf(node, group, watchers).parent; !slices.Contains(watchers, node) && (got == "" || got != above[node]) {
 				t.Fatalf("%d nodes: %s expects it of %q, %q sends it", nodes, node, got, above[node])
 			}
 		}
--- a/internal/gateway/watch_assignment.go
+++ b/internal/gateway/watch_assignment.go
@@ -24,8 +24,8 @@
 	// receivers are the nodes that it sends changes to; notified are only told that there are some, and ask if nobody sends them.
 	receivers []string
 	notified  []string
-	// relay is this node's place among the receivers of one of the watchers, where it does not watch.
-	relay relayPlace
+	// place is this node's place among the receivers of one of the watchers, where it does not watch.
+	place treePlace
 	// turn among the watchers, and how many there are.
 	turn, watchers int
 }
@@ -45,7 +45,7 @@
 	a.watches = a.turn >= 0
 	slices.Sort(group)
 	if !a.watches {
-		a.relay = relayPlaceOf(self.Address, group, watchers)
+		a.place = treePlaceOf(self.Address, group, watchers)
 		return a
 	}
 	a.receivers = receiversOf(a.turn, group, watchers)
@@ -103,8 +103,8 @@
 	if !watch.watches || !g.settings.Load().Fleet.PeerCopies {
 		return
 	}
-	direct, relayed := relayRoot(watch.receivers, records)
+	direct, passedOn := treeRoot(watch.receivers, records)
 	g.sendSpread(c.records.Tell(now, direct, since, records))
-	g.sendSpread(c.records.Tell(now, relayed, since, nil))
+	g.sendSpread(c.records.Tell(now, passedOn, since, nil))
 	g.sendSpread(c.records.Tell(now, watch.notified, since, nil))
 }
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -80,12 +80,12 @@
 		"./platform", "TestBackEndThatBlamesRequests",
 	},
 	{
-		"a large change is told to all at once", "internal/gateway/relay.go",
+		"a large change is told to all at once", "internal/gateway/tell_tree.go",
 		"	if !isLarge(records, len(receivers)) {", "	if true {",
 		"./internal/gateway", "TestLargeChangeLeavesRoomOnLinks",
 	},
 	{
-		"a large change is passed on by nobody", "internal/gateway/relay.go",
+		"a large change is passed on by nobody", "internal/gateway/tell_tree.go",
 		"	for _, child := range place.children {", "	for _, child := range place.children[:0] {",
 		"./internal/gateway", "TestLargeChangeIsPassedOnSoon",
 	},
