--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -109,6 +109,8 @@
 	failures int
 	// historyLost: the store has forgotten its history since a watch last ended well. Another listing at once would meet the same.
 	historyLost bool
+	// mixedBefore: the last listing was of two eras, and there was no whole one since.
+	mixedBefore bool
 	// contactAt is when the store last answered; -1 for never.
 	contactAt time.Duration
 }
@@ -174,7 +176,7 @@
 
 // Page takes in a page of a listing: its last key, the store's revision, and whether there is more. It reports whether the
 // listing is whole. Pages of two eras make no listing, and one of an era before what is known by now is of no use: another
-// listing begins, after a pause where the store goes on telling an earlier era.
+// listing begins, after a pause that grows while that goes on.
 func (c *Core) Page(now time.Duration, last string, at history.Revision, more bool) bool {
 	c.answered(now)
 	if c.after == "" {
@@ -185,14 +187,18 @@
 		return false
 	}
 	if at.Era != c.listedAt.Era {
-		c.relist()
+		c.mixed(now)
 		return false
 	}
+	if !c.mixedBefore {
+		c.backoff = 0
+	}
 	c.listing = more
 	if more {
 		c.after = last
 		return false
 	}
+	c.sound()
 	c.after = ""
 	c.listed = true
 	// Changes made while the listing was read come again with the watch; each is taken by its own revision.
@@ -213,6 +219,7 @@
 		c.relist()
 		return false
 	}
+	c.sound()
 	c.historyLost = false
 	c.revision = history.Latest(c.revision, at)
 	if count > 0 {
@@ -302,7 +309,7 @@
 	}
 }
 
-// outdated takes in an answer of an earlier era than was known when it was asked for, or has become known since.
+// outdated takes in an answer of an earlier era than was known when it was asked for or has become known since.
 func (c *Core) outdated(now time.Duration) {
 	c.relist()
 	c.Failed(now, Outdated)
@@ -315,8 +322,25 @@
 	c.after = ""
 }
 
+// mixed takes in a listing of pages of two eras. The store has just come back, and another listing is begun at once; only where
+// that is of two as well it waits.
+func (c *Core) mixed(now time.Duration) {
+	if c.mixedBefore {
+		c.outdated(now)
+		return
+	}
+	c.mixedBefore = true
+	c.relist()
+}
+
+// answered takes in that the store has answered, whatever it says.
 func (c *Core) answered(now time.Duration) {
 	c.contactAt = now
-	c.backoff = 0
 	c.failures = 0
 }
+
+// sound takes in that what the store said could be used: the next trouble is a first one.
+func (c *Core) sound() {
+	c.backoff = 0
+	c.mixedBefore = false
+}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -257,3 +257,70 @@
 		t.Errorf("goes back to %v", core.Revision())
 	}
 }
+
+// pauses are those before the next calls, each of which ends with a listing's page.
+func pauses(core *follow.Core, count int, page func()) (lengths []time.Duration) {
+	for range count {
+		call := core.Next(0, follow.CopyState{})
+		if call.Kind == follow.Pause {
+			lengths = append(lengths, call.For)
+			call = core.Next(0, follow.CopyState{})
+		}
+		if call.Kind != follow.List {
+			return lengths
+		}
+		page()
+	}
+	return lengths
+}
+
+// growing are the pauses after a trouble that stays.
+var growing = []time.Duration{100, 200, 400, 800, 1000, 1000}
+
+// TestEarlierEraIsAskedWithGrowingPauses: a store that goes on telling an earlier era than is known is under load or not yet itself; it is asked ever less often, and as
+// usual once it tells the era that is known.
+func TestEarlierEraIsAskedWithGrowingPauses(t *testing.T) {
+	core := follow.New(settings, half)
+	core.Advance(history.At(3, 9))
+	core.Changes(0, history.At(3, 9), history.At(2, 5), 0)
+	got := pauses(core, len(growing), func() { core.Page(0, "k", history.At(2, 7), false) })
+	if want := milliseconds(growing); !slices.Equal(got, want) {
+		t.Errorf("pauses %v, want %v", got, want)
+	}
+	for core.Next(0, follow.CopyState{}).Kind == follow.Pause {
+		continue
+	}
+	if !core.Page(0, "k", history.At(3, 11), false) {
+		t.Fatal("the era that is known makes no listing")
+	}
+	if call := core.Next(0, follow.CopyState{}); call.Kind != follow.Watch {
+		t.Errorf("goes on with %+v", call)
+	}
+}
+
+// TestPagesOfTwoErasAreListedWithGrowingPauses: a listing whose pages are of two eras again and again is not begun anew at once.
+func TestPagesOfTwoErasAreListedWithGrowingPauses(t *testing.T) {
+	core := follow.New(settings, half)
+	era := uint64(1)
+	mixed := func() {
+		core.Page(0, "k", history.At(era, 7), true)
+		core.Next(0, follow.CopyState{})
+		era++
+		core.Page(0, "z", history.At(era, 7), false)
+	}
+	mixed()
+	if call := core.Next(0, follow.CopyState{}); call.Kind != follow.List || call.After != "" {
+		t.Errorf("the first time goes on with %+v", call)
+	}
+	mixed()
+	if got, want := pauses(core, len(growing), mixed), milliseconds(growing); !slices.Equal(got, want) {
+		t.Errorf("pauses %v, want %v", got, want)
+	}
+}
+
+func milliseconds(numbers []time.Duration) (lengths []time.Duration) {
+	for _, n := range numbers {
+		lengths = append(lengths, n*time.Millisecond)
+	}
+	return lengths
+}
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -79,6 +79,11 @@
 		"	n.blameBackEnds(attempt.Shard)\n", "",
 		"./platform", "TestBackEndThatBlamesRequests",
 	},
+	{
+		"any answer of the store ends the growth of the pause", "internal/follow/follow.go",
+		"	c.contactAt = now\n	c.failures = 0\n", "	c.contactAt = now\n	c.failures = 0\n	c.backoff = 0\n",
+		"./internal/follow", "TestEarlierEraIsAskedWithGrowingPauses",
+	},
 	{
 		"a large change is told to all at once", "internal/gateway/tell_tree.go",
 		"	if !isLarge(records, len(receivers)) {", "	if true {",
