--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -1,7 +1,8 @@
 // Package serving listens for callers, says whether the node is ready, serves its metrics, and stops it as planned.
 //
-// It owns the listeners and callers' connections, and tells of one what the machine knows (caller.go); what is served is a Node and the handlers handed to Start. Its times
-// are the standard library's: a planned stop takes no longer than the caller of Stop allows.
+// It owns the listeners and callers' connections, and tells of one what the machine knows (caller.go); what is served is a
+// Node and the handlers handed to Start. Its times are the standard library's: a planned stop takes no longer than the caller of
+// Stop allows.
 package serving
 
 import (
