gateway: an answer of the store that peers have overtaken is not announced

What callers saw: requests to a back end whose entry is gone, or an older configuration, at the nodes that hear from one watcher, until the key is written again.

Cause: a watcher announces "changes since A, up to B" with the changes of its answer and the revision of its copy. Where a peer brought later changes while the answer was under way, B is later than the answer; a receiver at A takes itself for up to date at B without them. Over a restore A and B are of two eras. The late answer also confirmed the copy as of now.

Change: storeConfirmed gets the answer's revision; one before the copy's confirms nothing and is not announced. spread takes no changes since one era for a whole account of another, for announcements of earlier releases.

Why this works: an announcement is sent only where the copy's revision and the answer's are the same.

Two guards' texts follow the line that moved.

--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -120,6 +120,8 @@
 	// stalls counts how often the connections of this node's calls have stalled. A call that was in flight then never
 	// ends by itself.
 	stalls atomic.Int64
+	// watchDelay is how long the answer of a watch that brings changes takes to reach this node, in nanoseconds.
+	watchDelay atomic.Int64
 }
 
 // List implements gateway.Store.
@@ -157,6 +159,13 @@
 		<-ctx.Done()
 		return nil, history.Revision{}, ctx.Err()
 	}
+	if delay := time.Duration(s.watchDelay.Load()); delay > 0 && len(records) > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil, history.Revision{}, ctx.Err()
+		}
+	}
 	return records, at, err
 }
 
--- a/internal/gateway/store_reading.go
+++ b/internal/gateway/store_reading.go
@@ -109,7 +109,7 @@
 	clear(c.listedKeys)
 	g.markListed()
 	g.sendSpread(sends)
-	g.storeConfirmed(now, revision, nil)
+	g.storeConfirmed(now, revision, revision, nil)
 }
 
 // watch waits for changes in the store and applies them.
@@ -138,7 +138,7 @@
 	c.logOutdated(records)
 	g.applyChanges(now, records, c.doubtUntil(now, c.age(now), countDeleted(records), g.replicas.Len()))
 	g.sendSpread(c.records.Advance(now, c.reader.Revision()))
-	g.storeConfirmed(now, call.Revision, records)
+	g.storeConfirmed(now, call.Revision, at, records)
 }
 
 // cancelWhenStale cancels a watch when the copy becomes stale. The watch's connection may be dead by then, and the store is
--- a/internal/gateway/watch_assignment.go
+++ b/internal/gateway/watch_assignment.go
@@ -96,10 +96,16 @@
 	return g.storeCopy.reader.StoreReachable(now) || g.servedByWatchers(now)
 }
 
-// storeConfirmed records that the store has returned all changes after a revision, and sends them to the group. The other
-// watchers are told too, since their own watches may have gone silent.
-func (g *Gateway) storeConfirmed(now time.Duration, since history.Revision, records []message.StoreRecord) {
+// storeConfirmed records that the store has returned all changes after the revision since, up to the revision until, and
+// sends them to the group. The other watchers are told too, since their own watches may have gone silent.
+//
+// Peers may have brought later changes while the call was under way. The answer then confirms nothing, and is not sent on:
+// it lacks those changes, and whoever is told the revision of this copy must get all changes up to it.
+func (g *Gateway) storeConfirmed(now time.Duration, since, until history.Revision, records []message.StoreRecord) {
 	c, watch := g.storeCopy, &g.fleet.watch
+	if until.Before(c.records.Revision()) {
+		return
+	}
 	c.records.Confirm(now)
 	c.logStaleness(now)
 	if !watch.watches || !g.settings.Load().Fleet.PeerCopies {
--- a/internal/mutation/era_test.go
+++ b/internal/mutation/era_test.go
@@ -34,6 +34,16 @@
 		"if listed[key] || known.Revision.After(revision) {", "if listed[key] || known.Deleted || known.Revision.After(revision) {",
 		"./internal/spread", "TestLateRecordOfDeletedKey",
 	},
+	{
+		"a late answer of the store is announced as all changes up to the copy's revision", "internal/gateway/watch_assignment.go",
+		"	if until.Before(c.records.Revision()) {\n		return\n	}\n", "",
+		"./internal/gateway", "TestLateWatchIsNotAnnounced",
+	},
+	{
+		"changes since an earlier era count as all changes of an era", "internal/spread/spread.go",
+		" && m.Since.Era == m.Revision.Era", "",
+		"./internal/spread", "TestIncrementalAnswerAcrossEras",
+	},
 	{
 		"entries missing after a restore count as deleted before the rewrite window has ended", "internal/spread/confirmation.go",
 		" &&\n		c.RewriteRemaining(now) == 0", "",
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -136,7 +136,7 @@
 	},
 	{
 		"an answer to an earlier process of the node counts as complete", "internal/spread/spread.go",
-		"if m.Complete || !m.Since.After(c.revision) {", "if true {",
+		"return m.Complete || !m.Since.After(c.revision) && m.Since.Era == m.Revision.Era", "return true",
 		"./internal/spread", "TestAnswerToAnEarlierProcess",
 	},
 	{
@@ -333,7 +333,7 @@
 	},
 	{
 		"changes after a gap count as complete", "internal/spread/spread.go",
-		"if m.Complete || !m.Since.After(c.revision) {", "if true {",
+		"return m.Complete || !m.Since.After(c.revision) && m.Since.Era == m.Revision.Era", "return true",
 		"./internal/spread", "TestMissingChangesAreRequested",
 	},
 	{
--- a/internal/spread/late_message_test.go
+++ b/internal/spread/late_message_test.go
@@ -78,6 +78,22 @@
 	}
 }
 
+// TestIncrementalAnswerAcrossEras guards against a copy that claims an era without its listing: changes since a revision
+// of an earlier era do not say which keys the restored store has lost.
+func TestIncrementalAnswerAcrossEras(t *testing.T) {
+	core := spread.New(settings, func(int) []string { return nil })
+	core.Apply(0, message.StoreRecord{Key: "lost", Revision: at(12)})
+	core.Advance(0, at(13))
+	m := &message.StoreRecords{Since: at(13), Revision: history.At(2, 10), Records: []message.StoreRecord{{Key: "k", Revision: at(14)}}}
+	received := core.Receive(0, "peer", m, true)
+	if received.Advanced || core.Revision() != at(13) {
+		t.Errorf("the copy is at %v, want it to stay at 13 of the first era", core.Revision())
+	}
+	if len(received.Sends) != 1 || received.Sends[0].To != "peer" {
+		t.Errorf("the node sends %+v, want one request to the peer", received.Sends)
+	}
+}
+
 // TestConvergeWithDelayedMessages: messages to some nodes are held back while the store changes, is restored from a
 // backup and is listed anew, and arrive afterwards. No record goes back to an older revision, and once the faults end
 // all nodes hold what the store holds.
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -312,9 +312,7 @@
 	if m.Complete {
 		received.Deleted = c.ApplyListing(now, listed, m.Revision)
 	}
-	// The answer may belong to a request that an earlier process at this address made. This process does not know
-	// the changes that the answer leaves out.
-	if m.Complete || !m.Since.After(c.revision) {
+	if c.bringsAllChanges(m) {
 		received.Advanced = m.Revision.After(c.revision)
 		received.Sends = c.Advance(now, m.Revision)
 	} else if m.Revision.After(c.revision) {
@@ -325,6 +323,14 @@
 	return received
 }
 
+// bringsAllChanges reports whether this copy, together with the records of a peer, has all changes up to their revision.
+// It does not if changes before them are missing: the answer may belong to a request that an earlier process at this
+// address made. Nor does it if the records are changes since an earlier era, because they do not say what the restored
+// store has lost.
+func (c *Core) bringsAllChanges(m *message.StoreRecords) bool {
+	return m.Complete || !m.Since.After(c.revision) && m.Since.Era == m.Revision.Era
+}
+
 // discardTombstones discards tombstones that are older than TombstoneRetention.
 func (c *Core) discardTombstones(now time.Duration) {
 	for key, known := range c.records {
