forward: time for which a request lay unread does not shorten its search for room or its wait for shards

What callers saw: 503 OVERLOADED, and answers without their last shards, from a node that had stood still for a moment, while they waited for a second longer and back ends had room some milliseconds later.

Cause: all times of a request count from its arrival since it is known when that was. That is right for what the caller waits for. But a request that was read 152 ms late had used up the 50 ms in which it looks for room, and one that was read after its target latency was answered at once without its last shards. The sample by which a node judges the load of the back ends was taken at once too, with all shards missing.

Change: forward/timing.go holds the times of a request. Deadline and target latency of the caller count from the arrival; the acceptance deadline, the target latency of the shards where the caller's was missed, and the sample count from the start. Requests held at a starting node or for a trial follow the same rules.

Why this works: what is read late now looks for room, and waits for its shards, as long as any other request.

--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -10,32 +10,35 @@
 // finishIfDue answers the request as soon as one of these holds:
 //   - All shards have answered.
 //   - Too few shards can still answer.
-//   - The target latency is reached or passed, and enough shards have answered.
+//   - The time for an early answer has come (timing.earlyFinishAt), and enough shards have answered.
 //   - Enough shards have answered, and no other can answer by the time at which the answer would go out.
 //   - The deadline has come.
-//   - No back end has run any of the request for a fixed part of the target latency (acceptanceDeadline).
+//   - No back end has run any of the request by the acceptance deadline.
 func (r *Request) finishIfDue(now time.Duration) {
 	if r.done {
 		return
 	}
-	if now >= r.target {
+	if now >= r.timing.serviceTarget {
 		r.reportSampleOnce()
 	}
 	enough := r.answered >= r.requiredShards()
+	if !enough && now >= r.timing.callerTarget {
+		r.timing.callerTargetMissed = true
+	}
 	switch {
 	case r.answered == len(r.shards):
 		r.succeed(Complete)
 	case r.answered+r.openShards() < r.requiredShards():
 		r.fail(now)
-	case now >= r.target && enough && r.settings.EarlyFinish && r.route.FansOut():
+	case now >= r.timing.earlyFinishAt() && enough && r.settings.EarlyFinish && r.route.FansOut():
 		r.succeed(TargetReached)
 	case enough && !r.openShardMayAnswerInTime():
 		r.succeed(ShardsFailed)
-	case now >= r.deadline && enough:
+	case now >= r.timing.deadline && enough:
 		r.succeed(DeadlineReached)
-	case now >= r.deadline:
+	case now >= r.timing.deadline:
 		r.finish(r.deadlineAnswer())
-	case r.nothingRan() && now >= r.acceptanceDeadline():
+	case r.nothingRan() && now >= r.timing.acceptanceDeadline:
 		r.finish(r.overloadedAnswer())
 	}
 }
@@ -46,7 +49,7 @@
 	switch {
 	case !r.route.FansOut() && response != nil:
 		r.finish(Answer{BackEndResponse: response, TotalShards: 1, Reason: BackEndFailed})
-	case now >= r.deadline:
+	case now >= r.timing.deadline:
 		r.finish(r.deadlineAnswer())
 	case r.trials.quarantined:
 		r.finish(r.quarantinedAnswer())
@@ -108,7 +111,7 @@
 	return false
 }
 
-// reportSampleOnce tells the node what the request is missing: at its target, or earlier if it succeeds before.
+// reportSampleOnce tells the node what the request is missing: at its service target, or earlier if it succeeds before.
 func (r *Request) reportSampleOnce() {
 	if r.sampleReported || !r.route.FansOut() {
 		return
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -11,6 +11,7 @@
 //	trials.go   how a request is sent on after it has crashed back ends
 //	finish.go   when the request is answered
 //	refusal.go  when it is refused as not run, and after which time the caller may retry
+//	timing.go   the times that these rules go by
 //
 // The package owns a Request: its attempts, and the state of each of its shards (state.go):
 //
@@ -43,11 +44,7 @@
 	route    *routing.Route
 	// versions are the software versions of the back ends that may get the request. Empty allows every version.
 	versions []string
-	// target and deadline count from arrivedAt. At target, an answer with enough shards may go out. At deadline, the
-	// final answer goes out.
-	arrivedAt time.Duration
-	target    time.Duration
-	deadline  time.Duration
+	timing   timing
 
 	shards   []shard
 	attempts []*Attempt
@@ -86,21 +83,12 @@
 }
 
 func newRequest(now time.Duration, parameters Parameters, settings Settings, node Node) *Request {
-	route := parameters.Route
-	arrived := parameters.ArrivedAt
-	if arrived == 0 {
-		arrived = now
-	}
-	r := &Request{
-		node: node, settings: settings, route: route, versions: parameters.Versions, arrivedAt: arrived,
-		deadline: arrived + route.Timeout, target: arrived + route.TargetLatency - settings.AnswerMargin,
+	return &Request{
+		node: node, settings: settings, route: parameters.Route, versions: parameters.Versions,
+		timing: newTiming(now, &parameters, settings.AnswerMargin),
 		trials: trials{nextShard: parameters.FirstTrialShard, retrial: parameters.Retrial},
+		shards: newShards(parameters.Services()),
 	}
-	if parameters.Deadline > 0 {
-		r.deadline = min(r.deadline, parameters.Deadline-settings.AnswerMargin)
-	}
-	r.shards = newShards(parameters.Services())
-	return r
 }
 
 // SetNode replaces the request's view of its node. The caller does this before each step.
@@ -110,7 +98,7 @@
 func (r *Request) Done() bool { return r.done }
 
 // Deadline is when the request gets its final answer at the latest. Back ends are told the time left until then.
-func (r *Request) Deadline() time.Duration { return r.deadline }
+func (r *Request) Deadline() time.Duration { return r.timing.deadline }
 
 // Attempts returns all attempts so far.
 func (r *Request) Attempts() []*Attempt { return r.attempts }
@@ -229,12 +217,12 @@
 
 // NextWake returns the latest time at which Tick must be called.
 func (r *Request) NextWake(now time.Duration) time.Duration {
-	wake := r.deadline
-	if r.settings.EarlyFinish && r.route.FansOut() && now < r.target {
-		wake = min(wake, r.target)
+	wake := r.timing.deadline
+	if early := r.timing.earlyFinishAt(); r.settings.EarlyFinish && r.route.FansOut() && now < early {
+		wake = min(wake, early)
 	}
 	if r.nothingRan() {
-		wake = min(wake, max(now, r.acceptanceDeadline()))
+		wake = min(wake, max(now, r.timing.acceptanceDeadline))
 	}
 	if at, due := r.nextTrialAt(); due {
 		wake = min(wake, at)
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -53,7 +53,7 @@
 // which a hedge can be answered by the target.
 func (r *Request) siblingHedgeDelay(s *shard) time.Duration {
 	late := siblingFactor*r.siblingLatency + siblingSlack
-	latest := r.target - r.arrivedAt - late - hedgeRoundTrip
+	latest := r.timing.earlyFinishAt() - r.timing.startedAt - late - hedgeRoundTrip
 	if latest > late && r.node.ExtraAttemptsLeft(s.service) < float64(r.settings.LastExtras) {
 		late += time.Duration(fewExtrasWaitShare * float64(latest-late))
 	}
--- a/internal/forward/pause.go
+++ b/internal/forward/pause.go
@@ -24,7 +24,7 @@
 	s.tried = nil
 	recovery, known := r.node.EarliestRecovery(s.service, r.pickOptions(s))
 	until := max(now+s.pauseLength, recovery)
-	if r.settings.RetryPause > 0 && known && until < r.deadline && !r.isSingleBackEndFailure(s) && !r.node.ShardExcluded(s.service) {
+	if r.settings.RetryPause > 0 && known && until < r.timing.deadline && !r.isSingleBackEndFailure(s) && !r.node.ShardExcluded(s.service) {
 		s.setState(paused{until: until})
 	} else {
 		s.setState(failed{})
@@ -45,11 +45,11 @@
 }
 
 // openShardMayAnswerInTime reports whether a shard may still answer by the time at which the answer goes out with the
-// shards that have answered: the target latency with EarlyFinish, otherwise the deadline.
+// shards that have answered: the time of an early answer with EarlyFinish, otherwise the deadline.
 func (r *Request) openShardMayAnswerInTime() bool {
-	until := r.deadline
+	until := r.timing.deadline
 	if r.settings.EarlyFinish {
-		until = r.target
+		until = r.timing.earlyFinishAt()
 	}
 	for i := range r.shards {
 		s := &r.shards[i]
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -13,7 +13,7 @@
 //	when                                              code               reason               retry-after time
 //	at the start, too few shards have a back end      NO_REPLICA         no_back_end          Settings.RetryAfter
 //	later, nothing was sent and no shard can be asked NO_REPLICA         no_back_end          Settings.RetryAfter
-//	no back end ran any of it by acceptanceDeadline   OVERLOADED         no_room, all_refused retryAfterOverloaded
+//	no back end ran any of it by acceptance deadline  OVERLOADED         no_room, all_refused retryAfterOverloaded
 //	no shard is left to ask, all attempts refused     OVERLOADED         all_refused          retryAfterOverloaded
 //	the request is under quarantine                   QUARANTINED        quarantined          Settings.RetryAfter
 //	the deadline came                                 DEADLINE_EXCEEDED  deadline             retryAfterOverloaded
@@ -21,8 +21,6 @@
 //
 // If back ends that refused named a retry-after time, the longest of theirs is given instead.
 const (
-	// A request is refused if no back end has run any of it within the target latency divided by acceptanceDivisor.
-	acceptanceDivisor = 5
 	// retryAfterOverloaded is the retry-after time if a back end may have a free slot again at any time.
 	retryAfterOverloaded = 60 * time.Millisecond
 )
@@ -39,11 +37,6 @@
 // caller be told that the request did not run.
 func (r *Request) nothingRan() bool { return !r.mayHaveRun && !r.anyInFlight() }
 
-// acceptanceDeadline returns until when the request tries to find a back end that runs it, while none has.
-func (r *Request) acceptanceDeadline() time.Duration {
-	return r.arrivedAt + r.route.TargetLatency/acceptanceDivisor
-}
-
 // refuseIfTooFewShards refuses a request at its start if too few shards have a back end that can be asked. No attempt
 // has gone out yet, so the request provably did not run, and the caller may retry once there are more back ends.
 func (r *Request) refuseIfTooFewShards() {
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -35,7 +35,7 @@
 // its last attempt provably did not run.
 func (r *Request) repeatAllowed(now time.Duration, s *shard) bool {
 	kind := s.lastFailure.Kind
-	if kind == Expired || now >= r.deadline {
+	if kind == Expired || now >= r.timing.deadline {
 		return false
 	}
 	return r.route.Repeatable || kind.NotRun()
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -194,9 +194,24 @@
 		"until := max(now+s.pauseLength, recovery)", "until := max(now+s.pauseLength, min(recovery, 0))",
 		"./internal/forward", "TestAnsweredOnceNothingMoreCanArrive",
 	},
+	{
+		"a request that was read late is refused at once for want of room", "internal/forward/timing.go",
+		"acceptanceDeadline: now + route.TargetLatency/acceptanceDivisor", "acceptanceDeadline: arrived + route.TargetLatency/acceptanceDivisor",
+		"./internal/forward", "TestUnreadRequestIsNotRefusedAtOnce",
+	},
+	{
+		"a request that has missed its target latency unread is answered with few shards", "internal/forward/timing.go",
+		"	if t.callerTargetMissed {\n		return t.serviceTarget\n	}\n", "",
+		"./internal/forward", "TestUnreadRequestGetsAllShards",
+	},
+	{
+		"the time for which a request lay unread counts as overload of the back ends", "internal/forward/finish.go",
+		"if now >= r.timing.serviceTarget {", "if now >= r.timing.callerTarget {",
+		"./internal/forward", "TestUnreadTimeIsNoOverload",
+	},
 	{
 		"a request of which no attempt has run is not answered at its acceptance deadline", "internal/forward/finish.go",
-		"case r.nothingRan() && now >= r.acceptanceDeadline():", "case false:",
+		"case r.nothingRan() && now >= r.timing.acceptanceDeadline:", "case false:",
 		"./internal/forward", "TestAnsweredOnceNothingMoreCanArrive",
 	},
 	{
@@ -211,7 +226,7 @@
 	},
 	{
 		"an attempt is sent that cannot be answered before the deadline", "internal/forward/attempt.go",
-		"return now+chosen.ExpectedMinimum(now) > r.deadline", "return false",
+		"return now+chosen.ExpectedMinimum(now) > r.timing.deadline", "return false",
 		"./internal/forward", "TestNoAttemptThatCannotMeetDeadline",
 	},
 	{
