gateway: attempts that are written together wait for one look at the caller

What callers saw: nothing themselves; back ends began to work for callers that had left while the node stood still.

Cause: the first attempt that is about to be written notes that it looks for the caller, and looks; attempts that are written at the same time found a fresh note and went on without what it found.

Change: one lock over the note and the result. The look is a system call, at most one in 20 ms for each request.

Why this works: who does not look itself waits for the look that is under way.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"stiletrail/internal/forward"
@@ -28,10 +28,11 @@
 	answer   *forward.Answer
 	// callerGone is set when the caller has disconnected, so that nobody is left to answer.
 	callerGone bool
-	// callerCheckedAt is when an attempt last checked whether the caller has disconnected. callerFoundGone is set once a
-	// check found that it has.
-	callerCheckedAt atomic.Int64
-	callerFoundGone atomic.Bool
+	// callerCheck guards callerCheckedAt, when an attempt last checked whether the caller has disconnected, and
+	// callerFoundGone, which is set once a check found that it has.
+	callerCheck     sync.Mutex
+	callerCheckedAt time.Duration
+	callerFoundGone bool
 	// restriction limits which back ends the request may be sent to. trial is set while the request is sent to one back
 	// end at a time.
 	restriction restriction
@@ -48,13 +49,12 @@
 }
 
 func newRequestRun(g *Gateway, call *Call, route *routing.Route, arrived time.Duration, restrictedTo restriction) *requestRun {
-	r := &requestRun{
+	return &requestRun{
 		gateway: g, call: call, route: route, arrived: arrived, restriction: restrictedTo, finished: make(chan struct{}),
-		outcomes: make(chan attemptOutcome, max(len(route.Shards), 1)),
-		cancels:  make(map[*forward.Attempt]context.CancelFunc, len(route.Shards)+1),
+		outcomes:        make(chan attemptOutcome, max(len(route.Shards), 1)),
+		cancels:         make(map[*forward.Attempt]context.CancelFunc, len(route.Shards)+1),
+		callerCheckedAt: g.now(),
 	}
-	r.callerCheckedAt.Store(int64(g.now()))
-	return r
 }
 
 // drive runs the request until it has an answer. The answer is empty if the caller has disconnected.
@@ -173,12 +173,15 @@
 const callerCheckInterval = 20 * time.Millisecond
 
 // checkCallerGone reports whether the caller has disconnected. It is called when an attempt is about to be written, which
-// can be long after the attempt was decided if the node gets little processor time.
+// can be long after the attempt was decided if the node gets little processor time. Attempts that are written at the same
+// time wait for the check of the first of them.
 func (r *requestRun) checkCallerGone() bool {
-	now, last := r.gateway.now(), r.callerCheckedAt.Load()
-	due := r.call.CallerGone != nil && now-time.Duration(last) >= callerCheckInterval
-	if due && r.callerCheckedAt.CompareAndSwap(last, int64(now)) && r.call.CallerGone() {
-		r.callerFoundGone.Store(true)
+	r.callerCheck.Lock()
+	defer r.callerCheck.Unlock()
+	now := r.gateway.now()
+	if r.call.CallerGone != nil && !r.callerFoundGone && now-r.callerCheckedAt >= callerCheckInterval {
+		r.callerCheckedAt = now
+		r.callerFoundGone = r.call.CallerGone()
 	}
-	return r.callerFoundGone.Load()
+	return r.callerFoundGone
 }
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -194,6 +194,11 @@
 		"until := max(now+s.pauseLength, recovery)", "until := max(now+s.pauseLength, min(recovery, 0))",
 		"./internal/forward", "TestAnsweredOnceNothingMoreCanArrive",
 	},
+	{
+		"attempts do not wait for the check of another one whether the caller has disconnected", "internal/gateway/run.go",
+		"	r.callerCheck.Lock()\n	defer r.callerCheck.Unlock()\n", "",
+		"./internal/gateway", "TestAttemptsWrittenTogetherFindCallerGone",
+	},
 	{
 		"a request that was read late is refused at once for want of room", "internal/forward/timing.go",
 		"acceptanceDeadline: now + route.TargetLatency/acceptanceDivisor", "acceptanceDeadline: arrived + route.TargetLatency/acceptanceDivisor",
