follow, spread: failures, the poll schedule and the messages between nodes have files of their own

Functions moved, nothing else: failures.go has the kinds of failure and what follows one, schedule.go the turns among watchers, replication.go digests, requests and answers. Guards follow their lines; all are found.

--- a/internal/mutation/era_test.go
+++ b/internal/mutation/era_test.go
@@ -40,7 +40,7 @@
 		"./internal/gateway", "TestLateWatchIsNotAnnounced",
 	},
 	{
-		"changes since an earlier era count as all changes of an era", "internal/spread/spread.go",
+		"changes since an earlier era count as all changes of an era", "internal/spread/replication.go",
 		" && m.Since.Era == m.Revision.Era", "",
 		"./internal/spread", "TestIncrementalAnswerAcrossEras",
 	},
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -80,7 +80,7 @@
 		"./platform", "TestBackEndThatFailsEveryRequestIsAvoided",
 	},
 	{
-		"any answer of the store resets the retry backoff", "internal/follow/follow.go",
+		"any answer of the store resets the retry backoff", "internal/follow/failures.go",
 		"	c.contactAt = now\n	c.failures = 0\n", "	c.contactAt = now\n	c.failures = 0\n	c.backoff = 0\n",
 		"./internal/follow", "TestEarlierEraIsAskedWithGrowingPauses",
 	},
@@ -135,12 +135,12 @@
 		"./internal/spread", "TestOlderRecordsAreDropped",
 	},
 	{
-		"an answer to an earlier process of the node counts as complete", "internal/spread/spread.go",
+		"an answer to an earlier process of the node counts as complete", "internal/spread/replication.go",
 		"return m.Complete || !m.Since.After(c.revision) && m.Since.Era == m.Revision.Era", "return true",
 		"./internal/spread", "TestAnswerToAnEarlierProcess",
 	},
 	{
-		"a node does not request records from peers with newer ones", "internal/spread/spread.go",
+		"a node does not request records from peers with newer ones", "internal/spread/replication.go",
 		"return []OutgoingMessage{{peer, &message.StoreRequest{Revision: c.revision}}}", "return []OutgoingMessage{{peer, &message.StoreDigest{}}}",
 		"./internal/gateway", "TestNodeWithoutStoreAccess",
 	},
@@ -306,7 +306,7 @@
 		"./internal/gateway", "TestStartupRetrySlack",
 	},
 	{
-		"the store is listed without a pause after its history was lost repeatedly", "internal/follow/follow.go",
+		"the store is listed without a pause after its history was lost repeatedly", "internal/follow/failures.go",
 		"		if !repeated {\n			return\n		}\n", "		_ = repeated\n		return\n",
 		"./internal/follow", "TestCallFailures",
 	},
@@ -352,7 +352,7 @@
 		"./internal/spread", "TestConfirmation",
 	},
 	{
-		"changes after a gap count as complete", "internal/spread/spread.go",
+		"changes after a gap count as complete", "internal/spread/replication.go",
 		"return m.Complete || !m.Since.After(c.revision) && m.Since.Era == m.Revision.Era", "return true",
 		"./internal/spread", "TestMissingChangesAreRequested",
 	},
