gateway tests: the budget of a run with crashes counts the requests that were sent

Cause: the check. The rule counts the requests for a service that callers sent, whether or not they arrived; the checker counted so under bursts and evacuations, and by arrivals elsewhere. While all back ends of a service have crashed, requests arrive nowhere.

Evidence: the window of a failing play: 156 extra arrivals, 485 requests that arrived, 658 that were sent.

Change: with crashes the checker counts as it does under bursts. Bound and windows are those of the rule, unchanged.

--- a/internal/gateway/simulation_checker_test.go
+++ b/internal/gateway/simulation_checker_test.go
@@ -134,7 +134,7 @@
 
 // checkBudget checks the retry budget per service and window: arrivals beyond the first of each request stay within
 // the share and the slack. Under even load they are counted against the requests that arrived in the window or the
-// one before it. Under bursts and evacuations some requests arrive nowhere. They are then counted against the
+// one before it. Under bursts, evacuations and crashes some requests arrive nowhere. They are then counted against the
 // requests that callers sent in the window, in the one before it, or in the one half a window before it.
 func (s *simulation) checkBudget() {
 	const window = 10 * time.Second
@@ -152,7 +152,7 @@
 		seen[key] = true
 	}
 	offsets := []time.Duration{0, window}
-	if s.hasBursts || s.hasPlacement {
+	if s.hasBursts || s.hasPlacement || s.hasCrashes {
 		requests = s.sentByService()
 		offsets = append(offsets, window/2)
 	}
