gateway tests: a store out of reach of all nodes is an outage

Cause: the check. The checker knew outages of the store only. Which entry goes meanwhile depends on the order of goroutines.

Change: the time in which no node is connected counts as an outage, with the same time after it. The bound stays.

--- a/internal/gateway/simulation_checker_test.go
+++ b/internal/gateway/simulation_checker_test.go
@@ -122,8 +122,12 @@
 	return moment
 }
 
-// inOutage reports whether the store was in an outage at any time between two moments.
+// inOutage reports whether the store was in an outage at any time between two moments. That it is out of reach of all
+// nodes now is one too.
 func (s *simulation) inOutage(from, until time.Time) bool {
+	if !s.isStoreReachable() && s.unreachableSince.Before(until) {
+		return true
+	}
 	for _, outage := range s.outages {
 		if outage.begin.Before(until) && outage.end.After(from) {
 			return true
--- a/internal/gateway/simulation_faults_test.go
+++ b/internal/gateway/simulation_faults_test.go
@@ -46,9 +46,9 @@
 	case 5:
 		s.putNextVersion()
 	case 6:
-		during(func() { storeOfNode.disconnected.Store(true) }, func() { storeOfNode.disconnected.Store(false) })
+		during(func() { s.setStoreAccess(storeOfNode, false) }, func() { s.setStoreAccess(storeOfNode, true) })
 	case 7:
-		s.outages = append(s.outages, span{time.Now(), time.Now().Add(length + settleTime)})
+		s.withLock(func() { s.outages = append(s.outages, span{time.Now(), time.Now().Add(length + settleTime)}) })
 		s.cluster.store.update(func(store *fakeStore) { store.err = errUnavailable })
 		time.AfterFunc(length, func() { s.cluster.store.update(func(store *fakeStore) { store.err = nil }) })
 	case 8:
@@ -67,6 +67,24 @@
 	}
 }
 
+// setStoreAccess connects a node to the store or disconnects it. While all nodes are disconnected none of them can learn of a
+// change, which is an outage of the store as far as they can tell. The caller holds the lock.
+func (s *simulation) setStoreAccess(store *nodeStore, connected bool) {
+	before := s.isStoreReachable()
+	store.disconnected.Store(!connected)
+	switch after := s.isStoreReachable(); {
+	case before && !after:
+		s.unreachableSince = time.Now()
+	case !before && after:
+		s.outages = append(s.outages, span{s.unreachableSince, time.Now().Add(settleTime)})
+	}
+}
+
+// isStoreReachable reports whether any node is connected to the store.
+func (s *simulation) isStoreReachable() bool {
+	return slices.ContainsFunc(s.cluster.stores, func(store *nodeStore) bool { return !store.disconnected.Load() })
+}
+
 // reconnectTime is how long the nodes take to notice that the connections between them have stalled, and to open
 // others.
 const reconnectTime = 2 * time.Second
--- a/internal/gateway/simulation_restores_test.go
+++ b/internal/gateway/simulation_restores_test.go
@@ -63,7 +63,9 @@
 	outage := time.Duration(c.random.Int64N(int64(maximumOutage)))
 	rewrittenAfter := time.Duration(c.random.Int64N(int64(rewrittenLimit)))
 	c.incomplete, c.incompleteSince = true, time.Now()
-	s.outages = append(s.outages, span{time.Now(), time.Now().Add(outage + rewrittenAfter + settleTime)})
+	s.withLock(func() {
+		s.outages = append(s.outages, span{time.Now(), time.Now().Add(outage + rewrittenAfter + settleTime)})
+	})
 	store := s.cluster.store
 	store.update(func(store *fakeStore) { store.err = errUnavailable })
 	time.AfterFunc(outage, func() {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -97,9 +97,11 @@
 	crashTimes, reachTimes []time.Time
 	// slack is the slack of the retry budget, for the settings of the nodes and for the checker.
 	slack float64
-	// outages are the outages of the store. Each includes the time after it in which a missing entry does not prove
-	// that its back end is gone.
+	// outages are the outages of the store, also those in which it was merely out of reach of all nodes. Each includes
+	// the time after it in which a missing entry does not prove that its back end is gone.
 	outages []span
+	// unreachableSince is when the last node was disconnected from the store, while none is connected to it.
+	unreachableSince time.Time
 	// stalledAt are the moments at which all connections stalled.
 	stalledAt []time.Time
 	// restores is set if the store is restored from backups in this run, and nil otherwise.
@@ -149,7 +151,7 @@
 }
 
 // TestRandomCrashes runs every other seed with back ends that crash: by themselves, a zone at a time, or by a request
-// that is sent again and again. No node restarts here, and the store is never unavailable to all nodes.
+// that is sent again and again. No node restarts here, and the store itself is never unavailable.
 // TestRequestThatCrashesBackEnds covers those two cases.
 func TestRandomCrashes(t *testing.T) {
 	for _, seed := range seeds() {
