forward: an overdue timer of a hedge is not taken for a slow back end

What callers saw: nothing at once; extra attempts, taken out of the retry budget and of the slots of back ends, for requests whose answers had arrived while their node stood still.

Cause: when a process goes on, the timers of all hedges are overdue, and the first runs before the answers are read.

Evidence: a node that a signal holds for 0.7 s logs ten hedges at 709 ms for a request whose back ends answer in 15 ms. TestLateTimerIsNoSlowBackEnd: eight attempts in place of four before.

Change: a hedge that is overdue by more than hedgeRecheckInterval is looked at again after that interval.

Why this works: by then the answers that had arrived are read; a shard that is still unanswered is hedged.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -171,7 +171,8 @@
 // tickShard does what is due at a shard at this time.
 func (r *Request) tickShard(now time.Duration, number int) {
 	s := &r.shards[number]
-	if at, due := r.shardDue(s); !due || now < at {
+	at, due := r.shardDue(s)
+	if !due || now < at {
 		return
 	}
 	if r.trials.suspected {
@@ -181,7 +182,7 @@
 	}
 	switch s.state.(type) {
 	case inFlight:
-		r.startHedge(now, number)
+		r.hedgeOrLookAgain(now, number, at)
 	case waitingForCapacity:
 		r.startFirstAttempt(now, number)
 	case paused:
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -67,6 +67,16 @@
 		s.attemptsInFlight() == 1 && s.delivered < r.route.MaximumAttempts
 }
 
+// hedgeOrLookAgain starts a hedge that was due at a time, unless the node has stood still since. Answers that have arrived
+// meanwhile are then still unread, and the shard is looked at again once they are read.
+func (r *Request) hedgeOrLookAgain(now time.Duration, number int, dueAt time.Duration) {
+	if now-dueAt > hedgeRecheckInterval {
+		r.shards[number].hedgeNoEarlierThan(now + hedgeRecheckInterval)
+		return
+	}
+	r.startHedge(now, number)
+}
+
 // startHedge sends a hedge to another replica of a shard, or records why it could not.
 func (r *Request) startHedge(now time.Duration, number int) {
 	s := &r.shards[number]
--- a/internal/forward/shard.go
+++ b/internal/forward/shard.go
@@ -91,6 +91,13 @@
 	s.setState(state)
 }
 
+// hedgeNoEarlierThan moves the time of the shard's hedge back to at.
+func (s *shard) hedgeNoEarlierThan(at time.Duration) {
+	state := s.state.(inFlight)
+	state.hedgeAt = max(state.hedgeAt, at)
+	s.setState(state)
+}
+
 // removeAttempt subtracts an attempt that has ended from those in flight.
 func (s *shard) removeAttempt() {
 	state := s.state.(inFlight)
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -199,6 +199,11 @@
 		"	r.callerCheck.Lock()\n	defer r.callerCheck.Unlock()\n", "",
 		"./internal/gateway", "TestAttemptsWrittenTogetherFindCallerGone",
 	},
+	{
+		"an overdue timer of a hedge is taken for a slow back end", "internal/forward/hedge.go",
+		"if now-dueAt > hedgeRecheckInterval {", "if false {",
+		"./internal/forward", "TestLateTimerIsNoSlowBackEnd",
+	},
 	{
 		"a request that was read late is refused at once for want of room", "internal/forward/timing.go",
 		"acceptanceDeadline: now + route.TargetLatency/acceptanceDivisor", "acceptanceDeadline: arrived + route.TargetLatency/acceptanceDivisor",
