gateway, serving: an attempt of an abandoned request is not written

What callers saw: nothing themselves; back ends began to work for callers that had left while the node stood still.

Cause: a node that finds the end of a caller's connection abandons the request and closes its own end. Attempts that are about to be written then ask a closed connection, whose state was unknown and counted as connected.

Change: abandon marks the request for its attempts; a connection that the node has closed counts as disconnected.

Why this works: each attempt asks right before it is written, and one of the two marks is set before the connection is closed.

--- a/internal/gateway/caller_check_test.go
+++ b/internal/gateway/caller_check_test.go
@@ -47,3 +47,26 @@
 		}
 	})
 }
+
+// TestAttemptOfAbandonedRequestIsNotWritten guards against attempts for a caller that has disconnected: its request was
+// abandoned while an attempt was about to be written. Its connection is closed then, and can no longer tell that it is gone.
+func TestAttemptOfAbandonedRequestIsNotWritten(t *testing.T) {
+	withGateway(t, func(t *testing.T, s *fixture) {
+		var written atomic.Int64
+		ctx, disconnect := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, disconnect)
+		s.backEnds.setHandler(func(_ context.Context, request gateway.BackEndRequest) forward.Outcome {
+			time.Sleep(100 * time.Millisecond)
+			if request.CallerGone() {
+				return forward.Outcome{Kind: forward.Expired}
+			}
+			written.Add(1)
+			return answered(request)
+		})
+		result := s.gateway.Serve(ctx, &gateway.Call{ID: "id", Host: "h", Path: "/all/x", CallerGone: func() bool { return false }})
+		time.Sleep(time.Second)
+		if !result.CallerGone || written.Load() > 0 {
+			t.Errorf("caller gone is %v with %d attempts written, want true with none", result.CallerGone, written.Load())
+		}
+	})
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -94,9 +94,13 @@
 	return *r.answer
 }
 
-// abandon cancels all attempts because the caller has disconnected.
+// abandon cancels all attempts because the caller has disconnected. One that is about to be written learns it by
+// checkCallerGone.
 func (r *requestRun) abandon() {
 	r.callerGone = true
+	r.callerCheck.Lock()
+	r.callerFoundGone = true
+	r.callerCheck.Unlock()
 	r.step(func(time.Duration) []forward.Action { return r.request.CallerGone() })
 }
 
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -204,6 +204,16 @@
 		"if now-dueAt > hedgeRecheckInterval {", "if false {",
 		"./internal/forward", "TestLateTimerIsNoSlowBackEnd",
 	},
+	{
+		"an attempt of an abandoned request is written", "internal/gateway/run.go",
+		"	r.callerFoundGone = true\n", "",
+		"./internal/gateway", "TestAttemptOfAbandonedRequestIsNotWritten",
+	},
+	{
+		"a caller whose connection the node has closed counts as connected", "internal/serving/caller.go",
+		"return disconnected || !open", "return disconnected",
+		"./internal/serving", "TestClosedConnectionCountsAsDisconnected",
+	},
 	{
 		"a request that was read late is refused at once for want of room", "internal/forward/timing.go",
 		"acceptanceDeadline: now + route.TargetLatency/acceptanceDivisor", "acceptanceDeadline: arrived + route.TargetLatency/acceptanceDivisor",
--- a/internal/serving/caller.go
+++ b/internal/serving/caller.go
@@ -55,22 +55,22 @@
 	return waited
 }
 
-// Disconnected reports whether the caller has closed its end or the connection has broken, so that nobody would
-// receive an answer. A caller with further unread bytes counts as connected.
+// Disconnected reports whether the caller has closed its end, the connection has broken or this node has closed it, so
+// that nobody would receive an answer. A caller with further unread bytes counts as connected.
 func (c Caller) Disconnected() (disconnected bool) {
-	c.withDescriptor(func(fd int) {
+	open := c.withDescriptor(func(fd int) {
 		var next [1]byte
 		n, _, err := unix.Recvfrom(fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		disconnected = n == 0 && err == nil || err != nil && err != unix.EAGAIN && err != unix.EINTR
 	})
-	return disconnected
+	return disconnected || !open
 }
 
-// withDescriptor calls at with the connection's file descriptor, unless the connection is closed.
-func (c Caller) withDescriptor(at func(fd int)) {
-	if c.socket != nil {
-		// Control fails if this node has closed the connection. Nothing is known then, and the callers return their
-		// zero values.
-		_ = c.socket.Control(func(fd uintptr) { at(int(fd)) })
+// withDescriptor calls at with the connection's file descriptor, unless this node has closed the connection. It reports
+// whether the connection is open; one of unknown state counts as open.
+func (c Caller) withDescriptor(at func(fd int)) (open bool) {
+	if c.socket == nil {
+		return true
 	}
+	return c.socket.Control(func(fd uintptr) { at(int(fd)) }) == nil
 }
--- a/internal/serving/caller_test.go
+++ b/internal/serving/caller_test.go
@@ -122,3 +122,38 @@
 		}
 	}
 }
+
+// TestClosedConnectionCountsAsDisconnected: nobody receives an answer on a connection that the node itself has closed.
+// Nothing is known of a connection without a socket.
+func TestClosedConnectionCountsAsDisconnected(t *testing.T) {
+	near, far := testConnection(t)
+	caller := NewCaller(near)
+	if caller.Disconnected() {
+		t.Error("an open connection counts as disconnected")
+	}
+	_ = near.Close()
+	if !caller.Disconnected() {
+		t.Error("a connection that the node has closed does not count as disconnected")
+	}
+	_ = far.Close()
+	if (Caller{}).Disconnected() {
+		t.Error("a connection of unknown state counts as disconnected")
+	}
+}
+
+// testConnection returns both ends of a connection over the loopback address.
+func testConnection(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	if far, err = net.Dial("tcp4", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if near, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
