quarantine: a peer does not decide whether a known request can be put under quarantine

What callers would see: a request that goes on ending back ends at a node that a faulty peer has told.

Cause: each message of a peer replaced the mark that a record belongs to a resource or a caller, which are never put under quarantine.

Change: a message marks a record only when it creates it. Why this works: what the node has seen itself marks a record by the request's own identity, and nothing replaces that any more.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -103,8 +103,12 @@
 	if c.records[fingerprint] == nil && len(sent.Crashes) == 0 && sent.QuarantineRemainingMs == 0 {
 		return
 	}
-	r := c.recordOf(now, fingerprint)
-	r.aggregate, r.shared = sent.Aggregate, true
+	r := c.records[fingerprint]
+	if r == nil {
+		r = c.recordOf(now, fingerprint)
+		r.aggregate = sent.Aggregate
+	}
+	r.shared = true
 	before := r.quarantined(now)
 	news := r.receiveAnswer(now, sent)
 	news = c.receiveCrashes(now, r, sent) || news
