quarantine: no shard is excluded while quarantines are off

What callers would see: answers without a shard after an operator has switched quarantines on.

Cause: excludeShardIfDue compares rounds with quarantine_rounds and did not look whether that is 0; one crash was enough, and the exclusion held once rounds were switched on within its duration.

Evidence: TestNoShardIsExcludedWhileDisabled fails on the code before.

Change: nothing is excluded while quarantines are off.

--- a/internal/mutation/quarantine_test.go
+++ b/internal/mutation/quarantine_test.go
@@ -20,6 +20,16 @@
 		"(length == 0 || crash.StartedAt >= last)", "(last >= 0)",
 		"./internal/quarantine", "TestRounds",
 	},
+	{
+		"a peer decides whether a known request can be put under quarantine", "internal/quarantine/evidence.go",
+		"		r.aggregate = sent.Aggregate\n	}\n", "	}\n	r.aggregate = sent.Aggregate\n",
+		"./internal/quarantine", "TestPeerDoesNotExemptRequest",
+	},
+	{
+		"shards are excluded while quarantines are off", "internal/quarantine/verdict.go",
+		"	if c.settings.Rounds == 0 {\n		return\n	}\n", "",
+		"./internal/quarantine", "TestNoShardIsExcludedWhileDisabled",
+	},
 	{
 		"an answer does not end a suspicion", "internal/quarantine/outcome.go",
 		"	r.quarantinedUntil, r.stored = 0, false\n	if len", "	if len",
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -97,6 +97,9 @@
 
 // excludeShardIfDue excludes a shard for a request if the request has enough rounds there, and more than overall.
 func (c *Core) excludeShardIfDue(now clock.Ms, r *record, service string) {
+	if c.settings.Rounds == 0 {
+		return
+	}
 	rounds := r.shardRounds(service)
 	if rounds < c.settings.Rounds+extraShardRounds+c.extraRounds(now, r) || rounds <= r.rounds() {
 		return
