test: settings are checked before a port is tried

TestBadSettingsExitBeforeAnyPortOpens looks at the exit code and the names only. The new test gives ports that are held by the test itself, and an invalid zone: exit code 2, and no word of a port.

--- a/test/programs_test.go
+++ b/test/programs_test.go
@@ -190,3 +190,23 @@
 		}
 	}
 }
+
+// TestBadSettingsExitBeforePortsAreTried checks that no port is tried before all settings are checked: one that another program
+// holds is not even reported.
+func TestBadSettingsExitBeforePortsAreTried(t *testing.T) {
+	held, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = held.Close() }()
+	address := held.Addr().String()
+	command := exec.Command(filepath.Join(binaryDirectory, "stiletraild"),
+		"--http-address", address, "--peer-address", address, "--platform-url", "http://"+address, "--zone", "a b")
+	output, _ := command.CombinedOutput()
+	if command.ProcessState.ExitCode() != 2 || !strings.Contains(string(output), "zone") {
+		t.Errorf("exit code %d with an invalid zone, want 2 and the name of the setting: %s", command.ProcessState.ExitCode(), output)
+	}
+	if strings.Contains(string(output), "address already in use") {
+		t.Errorf("a port was tried although a setting is invalid: %s", output)
+	}
+}
