--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -211,7 +211,7 @@
 	},
 	{
 		"a caller whose connection the node has closed counts as connected", "internal/serving/caller.go",
-		"return disconnected || !open", "return disconnected",
+		"return disconnected || !open", "return disconnected || !open && disconnected",
 		"./internal/serving", "TestClosedConnectionCountsAsDisconnected",
 	},
 	{
