Review: a request told as not sent is written all the same

Bytes that are no answer end the reading before the goroutine that writes the request has begun, and the request goes to a second back end too.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -29,6 +29,7 @@
 // cases are the cases by name. A case plays its traffic and returns the violations of its rule.
 var cases = map[string]func(*deployment, bool) []string{
 	"refused-surplus": playRefusedSurplus,
+	"early-bytes":     playEarlyBytes,
 	"endless-head":    playEndlessHead,
 }
 
