An answer's head without an end no longer fills a gateway's memory

Cause: http.ReadResponse reads the status line, headers and interim answers without a limit, and the exchange lets it until the deadline of the request, 15 s for one that is not hedged. The body had a limit all along.

Evidence: TestAnswerHeadTooLarge on the code before takes an answer with a status line, a header, many headers or interim answers of twice 64 KiB for a whole one ("the exchange ended in stage 2 with error <nil>, want Sent and the size limit"). With a limit on the head alone nothing else had to change.

Change: a reader between socket and parser ends all heads of one answer at 64 KiB (exchange.MaximumHead). The attempt is lost, as with other bytes that are no answer: it counts against the back end and is never told as not run. The connection is closed at once. New metric stiletrail_answers_oversized_total.

The guard in internal/mutation is caught.

--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -85,7 +85,7 @@
 	defer closePeers()
 	metrics.RegisterGauges(telemetry.GaugeSource{
 		Gateway: node, BackEndConnections: pool.OpenCount.Load, BackEndConnectionsOpened: pool.OpenedTotal.Load,
-		LogLinesDropped: writer.Dropped, MalformedLoads: backEnds.MalformedLoads, PeerFrames: frames,
+		LogLinesDropped: writer.Dropped, MalformedLoads: backEnds.MalformedLoads, OversizedAnswers: pool.OversizedTotal.Load, PeerFrames: frames,
 	})
 	log.Started(loaded, loaded.IgnoredSettings())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -30,10 +29,12 @@
 
 // connection is a connection to a back end. One exchange uses it at a time.
 type connection struct {
-	socket  net.Conn
-	reader  *bufio.Reader
-	counter *countingWriter
-	writer  *bufio.Writer
+	socket net.Conn
+	// arriving is what reader reads from.
+	arriving *limitedReader
+	reader   *bufio.Reader
+	counter  *countingWriter
+	writer   *bufio.Writer
 	// idleSince is the time, on the pool's clock, at which the connection became idle. idleTimeout is how long it
 	// may stay idle, as the back end stated.
 	idleSince   time.Duration
@@ -59,8 +60,9 @@
 
 func newConnection(socket net.Conn, onClose func()) *connection {
 	counter := &countingWriter{Conn: socket}
+	arriving := &limitedReader{from: socket}
 	return &connection{
-		socket: socket, counter: counter, reader: bufio.NewReaderSize(socket, readBuffer),
+		socket: socket, counter: counter, arriving: arriving, reader: bufio.NewReaderSize(arriving, readBuffer),
 		writer: bufio.NewWriterSize(counter, writeBuffer), idleTimeout: defaultIdleTimeout, onClose: onClose,
 	}
 }
@@ -127,10 +129,16 @@
 	return Sent
 }
 
-// readHead reads the head of the final answer and skips interim answers.
+// readHead reads the head of the final answer and skips interim answers. All heads together may take MaximumHead.
 func (c *connection) readHead(message *http.Request) (*http.Response, error) {
+	c.arriving.limit(MaximumHead)
+	defer c.arriving.removeLimit()
 	for {
 		response, err := http.ReadResponse(c.reader, message)
+		if err != nil && c.arriving.exhausted() {
+			// The parser takes the line that the limit has cut for a malformed one.
+			return nil, errTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -140,8 +148,6 @@
 	}
 }
 
-var errTooLarge = errors.New("the back end's answer exceeds the size limit")
-
 func readBody(message *http.Request, response *http.Response, maximum int64) ([]byte, error) {
 	if message.Method == http.MethodHead {
 		return nil, nil
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,6 +88,9 @@
 	stop := context.AfterFunc(ctx, connection.abort)
 	result, reusable := connection.roundTrip(request)
 	result.ConnectionUnused = connection.answersRead == 0
+	if IsTooLarge(result.Err) {
+		p.OversizedTotal.Add(1)
+	}
 	if !stop() || !reusable {
 		connection.close()
 		return result
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -31,6 +31,8 @@
 	// OpenedTotal counts the connections opened since the start. OpenCount is the number that are open now.
 	OpenedTotal atomic.Int64
 	OpenCount   atomic.Int64
+	// OversizedTotal counts the answers since the start whose head or body was larger than allowed.
+	OversizedTotal atomic.Int64
 	// OnConnected, if set, is called with the time that each opening of a connection took.
 	OnConnected func(time.Duration)
 	// verificationMargin is added to the round-trip time when a new connection is verified.
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -9,6 +9,11 @@
 		"return k == Refused || k == Misdirected ||", "return k == Lost || k == Refused || k == Misdirected ||",
 		"./internal/gateway", "TestRandomFaults",
 	},
+	{
+		"the head of an answer is read without a limit", "internal/exchange/connection.go",
+		"	c.arriving.limit(MaximumHead)\n", "	c.arriving.removeLimit()\n",
+		"./internal/exchange", "TestAnswerHeadTooLarge",
+	},
 	{
 		"a request that is not repeatable is retried without proof that it has not run", "internal/forward/retry.go",
 		"return r.route.Repeatable || kind.NotRun()", "return true",
--- a/internal/telemetry/compatibility_test.go
+++ b/internal/telemetry/compatibility_test.go
@@ -45,7 +45,7 @@
 	count := func() int64 { return 1 }
 	metrics.RegisterGauges(telemetry.GaugeSource{
 		Gateway: gateway.New(gateway.FromSettings(settings.DefaultGateway()), nil, nil, metrics), BackEndConnections: count,
-		BackEndConnectionsOpened: count, LogLinesDropped: func() uint64 { return 1 }, MalformedLoads: count, PeerFrames: &transport.Counters{},
+		BackEndConnectionsOpened: count, LogLinesDropped: func() uint64 { return 1 }, MalformedLoads: count, OversizedAnswers: count, PeerFrames: &transport.Counters{},
 	})
 	attempts := []*forward.Attempt{}
 	for _, purpose := range []forward.Purpose{forward.First, forward.Hedge, forward.Retry} {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -43,6 +43,8 @@
 	LogLinesDropped func() uint64
 	// MalformedLoads returns the number of answers of back ends whose load report could not be parsed.
 	MalformedLoads func() int64
+	// OversizedAnswers returns the number of answers of back ends that were larger than allowed.
+	OversizedAnswers func() int64
 	// PeerFrames has the counters of the frames exchanged with other nodes. It is nil if the node has no peer address.
 	PeerFrames *transport.Counters
 }
@@ -243,6 +245,7 @@
 	gauge("stiletrail_back_ends_at_fault", func() float64 { return float64(source.Gateway.Status().BackEndsAtFault) })
 	gauge("stiletrail_zones_evacuated", func() float64 { return float64(source.Gateway.Status().EvacuatedZones) })
 	gauge("stiletrail_loads_malformed_total", func() float64 { return float64(source.MalformedLoads()) })
+	gauge("stiletrail_answers_oversized_total", func() float64 { return float64(source.OversizedAnswers()) })
 	gauge("stiletrail_requests_quarantined", func() float64 { return float64(source.Gateway.Status().Quarantined) })
 	m.registerQuotaGauges(source.Gateway)
 	gauge("stiletrail_shards_waiting", func() float64 { return float64(source.Gateway.Status().Waiting) })
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -34,7 +34,7 @@
 	frames.SentFrames.Store(5)
 	metrics.RegisterGauges(telemetry.GaugeSource{
 		Gateway: node, BackEndConnections: func() int64 { return 3 }, BackEndConnectionsOpened: func() int64 { return 9 },
-		LogLinesDropped: func() uint64 { return 2 }, MalformedLoads: func() int64 { return 3 }, PeerFrames: frames,
+		LogLinesDropped: func() uint64 { return 2 }, MalformedLoads: func() int64 { return 3 }, OversizedAnswers: func() int64 { return 4 }, PeerFrames: frames,
 	})
 	attempt := &forward.Attempt{
 		Replica: &replica.Replica{}, Purpose: forward.Hedge, StartedAt: time.Second, EndedAt: 1100 * time.Millisecond,
