The late copy of a refusal is not taken for the answer to the next attempt

Cause: an answer counts if it carries the request's id. A refused request goes to the same back end again over the connection that was kept, and a second copy of the refusal, sent late, has the id too. The attempt that runs then counts as not run, so the request goes elsewhere or is refused.

Evidence: TestLateCopyOfRefusal gives the order of events, without a clock; on the code before: "call 1 was answered 200 after 2 runs". TestLateCopyOfAnswer: "the second attempt ended with status 503 (<nil>), want its own answer, 200".

Change: a connection carries each id once (internal/exchange/carried.go). The next attempt takes another idle connection, or a new one in place of the one that was idle longest, so that a back end gets no more connections at a time. The new one is verified before use, since a back end that has just refused may reject it. So the mend also covers callers that use an id again, and parts that are asked once more.

--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -41,6 +41,7 @@
 	idleTimeout time.Duration
 	// onClose is called when the connection is closed.
 	onClose func()
+	carried carriedIDs
 	// answersRead is the number of answers read on the connection.
 	answersRead int
 }
@@ -87,6 +88,7 @@
 	if err := c.socket.SetDeadline(request.Deadline); err != nil {
 		return Result{Stage: NotSent, Err: failure.Wrap(err, failure.NoReplica, "cannot set the deadline: the connection to the back end is closed")}, false
 	}
+	c.carried.add(request.ID)
 	written := c.write(message)
 	response, err := c.readHead(message)
 	if err != nil {
@@ -168,11 +170,11 @@
 	return buffer.Bytes(), err
 }
 
-// canKeepAlive reports whether the answer stated its length, the back end keeps the connection open, and no byte
-// followed the answer.
+// canKeepAlive reports whether the answer stated its length, the back end keeps the connection open, no byte followed
+// the answer, and the connection may carry more requests.
 func (c *connection) canKeepAlive(response *http.Response) bool {
 	lengthKnown := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if !lengthKnown || response.Close || c.reader.Buffered() > 0 {
+	if !lengthKnown || response.Close || c.reader.Buffered() > 0 || c.carried.full() {
 		return false
 	}
 	c.idleTimeout = keepAliveTimeout(response.Header)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -49,6 +49,9 @@
 // Request is a request and the conditions under which it is sent.
 type Request struct {
 	Endpoint
+	// ID is the id by which the back end's answer names the request. A connection carries each id at most once. Requests
+	// without an id may use any connection.
+	ID string
 	// Deadline is the time at which the exchange ends.
 	Deadline time.Time
 	// ConnectTimeout is the time limit for opening a connection.
--- a/internal/exchange/export_test.go
+++ b/internal/exchange/export_test.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// MaximumRequests is the number of requests after which a connection is closed.
+const MaximumRequests = maximumRequests
+
 // SetVerificationMargin sets the time that is added to the round-trip time when a new connection is verified.
 func (p *Pool) SetVerificationMargin(slack time.Duration) { p.verificationMargin = slack }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,31 +48,49 @@
 	return &Pool{clock: clock.Start(), idle: map[Endpoint][]*connection{}, verificationMargin: defaultVerificationMargin, recentAnswerWithin: defaultRecentAnswerWithin}
 }
 
-// connect returns an idle connection that can be reused, or opens a new one.
+// connect returns an idle connection that can be reused, or opens a new one. If all idle connections have carried the
+// request's id, the new one replaces the one that has been idle longest, so that the back end gets no more connections
+// than before. It has probably just refused the request, and a full back end may reject new connections; so the new one
+// is verified.
 func (p *Pool) connect(ctx context.Context, request Request) (*connection, error) {
 	for {
-		kept := p.takeIdle(request.Endpoint)
-		if kept == nil {
+		kept := p.takeIdle(request)
+		switch {
+		case kept == nil:
 			return p.open(ctx, request)
-		}
-		now := p.clock.Elapsed()
-		if kept.canReuse(now) && !(request.NotRepeatable && now-kept.idleSince > p.recentAnswerWithin) {
+		case kept.carried.contains(request.ID):
+			kept.close()
+			request.VerifyConnection = true
+			return p.open(ctx, request)
+		case p.mayReuse(kept, request):
 			return kept, nil
 		}
 		kept.close()
 	}
 }
 
-func (p *Pool) takeIdle(to Endpoint) *connection {
+func (p *Pool) mayReuse(c *connection, request Request) bool {
+	now := p.clock.Elapsed()
+	reliable := !request.NotRepeatable || now-c.idleSince <= p.recentAnswerWithin
+	return reliable && c.canReuse(now)
+}
+
+// takeIdle takes the idle connection to the request's endpoint that was used last and has not carried the request's id.
+// If all have carried it, it takes the one that has been idle longest. It returns nil if there is none.
+func (p *Pool) takeIdle(request Request) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	idle := p.idle[to]
+	idle := p.idle[request.Endpoint]
 	if len(idle) == 0 {
 		return nil
 	}
-	last := idle[len(idle)-1]
-	p.idle[to] = idle[:len(idle)-1]
-	return last
+	i := len(idle) - 1
+	for i > 0 && idle[i].carried.contains(request.ID) {
+		i--
+	}
+	taken := idle[i]
+	p.idle[request.Endpoint] = slices.Delete(idle, i, i+1)
+	return taken
 }
 
 // put keeps a connection idle, or closes it if the maximum number of idle connections is reached.
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -14,6 +14,26 @@
 		"	c.arriving.limit(MaximumHead)\n", "	c.arriving.removeLimit()\n",
 		"./internal/exchange", "TestAnswerHeadTooLarge",
 	},
+	{
+		"a connection carries a request again", "internal/exchange/carried.go",
+		"return id != \"\" && slices.Contains(c.hashes, hashOf(id))", "return id != \"\" && slices.Contains(c.hashes, hashOf(id)) && false",
+		"./platform", "TestLateCopyOfRefusal",
+	},
+	{
+		"a connection that replaces one which carried the request is not verified", "internal/exchange/pool.go",
+		"			request.VerifyConnection = true\n", "",
+		"./internal/exchange", "TestReplacingConnectionIsVerified",
+	},
+	{
+		"of several idle connections only the last one is looked at", "internal/exchange/pool.go",
+		"for i > 0 && idle[i].carried.contains(request.ID) {", "for false {",
+		"./internal/exchange", "TestOtherIdleConnectionIsUsed",
+	},
+	{
+		"a connection is never closed for the number of its requests", "internal/exchange/connection.go",
+		" || c.carried.full() {", " {",
+		"./internal/exchange", "TestMaximumRequests",
+	},
 	{
 		"a request that is not repeatable is retried without proof that it has not run", "internal/forward/retry.go",
 		"return r.route.Repeatable || kind.NotRun()", "return true",
@@ -71,7 +91,7 @@
 	},
 	{
 		"connections to an earlier incarnation of a back end are used", "internal/exchange/pool.go",
-		"	idle := p.idle[to]\n	if len(idle) == 0", "	for e := range p.idle {\n		if e.Address == to.Address {\n			to = e\n		}\n	}\n	idle := p.idle[to]\n	if len(idle) == 0",
+		"	idle := p.idle[request.Endpoint]\n", "	for e := range p.idle {\n		if e.Address == request.Address {\n			request.Endpoint = e\n		}\n	}\n	idle := p.idle[request.Endpoint]\n",
 		"./internal/exchange", "TestConnectionToEarlierProcess",
 	},
 	{
@@ -291,7 +311,7 @@
 	},
 	{
 		"a request that is not repeatable is sent over a connection that may be dead", "internal/exchange/pool.go",
-		"kept.canReuse(now) && !(request.NotRepeatable && now-kept.idleSince > p.recentAnswerWithin)", "kept.canReuse(now)",
+		"return reliable && c.canReuse(now)", "return (reliable || true) && c.canReuse(now)",
 		"./internal/exchange", "TestIdleConnectionForNotRepeatableRequest",
 	},
 	{
