A refusal without an id counts only as the first answer on its connection

A refusal ("Not-Executed", or 421) without an id was taken for the answer to whatever was in flight, so the late one of an earlier request would say "has not run" of a request that runs. Back ends give the id with all their answers, so nothing needs this but a process that has taken over an address, and its answer is the first on its connection.

TestRefusalWithoutID on the code before: "with an earlier answer on the connection true: a refusal without an id was answered 503, want 502". A guard in internal/mutation is caught.

The cases of TestAnswersOfOneBackEnd without an id are as they were.

--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -99,8 +99,8 @@
 		return Result{Stage: c.stage(), Err: failure.Wrap(err, failure.OutcomeUnknown, "the connection ended within the back end's answer")}, false
 	}
 	c.answersRead++
-	result = Result{Stage: Answered, Status: response.StatusCode, Header: response.Header, Body: body}
-	reusable = written() && c.canKeepAlive(response) && request.AnswerMatches(response.StatusCode, response.Header)
+	result = Result{Stage: Answered, Status: response.StatusCode, Header: response.Header, Body: body, FirstAnswer: c.answersRead == 1}
+	reusable = written() && c.canKeepAlive(response) && request.AnswerMatches(result)
 	return result, reusable
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -44,6 +44,8 @@
 	// ConnectionUnused is set if the connection ended before it had carried any answer. A back end at its
 	// connection limit ends connections in this way.
 	ConnectionUnused bool
+	// FirstAnswer is set if the answer is the first on its connection, so that it cannot belong to an earlier request.
+	FirstAnswer bool
 }
 
 // Request is a request and the conditions under which it is sent.
@@ -76,7 +78,7 @@
 	IdleTimeout time.Duration
 	// AnswerMatches reports whether an answer belongs to the request. If it does not, the connection is not used
 	// again.
-	AnswerMatches func(status int, header http.Header) bool
+	AnswerMatches func(answer Result) bool
 }
 
 // Do carries out one exchange. If the context ends, Do closes the connection, so that the back end stops working on
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -64,7 +64,7 @@
 		Prepare: func() (*http.Request, error) {
 			return &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}, nil
 		},
-		AnswerMatches: func(int, http.Header) bool { return true },
+		AnswerMatches: func(exchange.Result) bool { return true },
 	}
 }
 
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -14,6 +14,11 @@
 		"	c.arriving.limit(MaximumHead)\n", "	c.arriving.removeLimit()\n",
 		"./internal/exchange", "TestAnswerHeadTooLarge",
 	},
+	{
+		"a refusal without an id counts whatever its connection has carried", "platform/backend.go",
+		"return refused && answer.FirstAnswer", "return refused",
+		"./platform", "TestRefusalWithoutID",
+	},
 	{
 		"a connection carries a request again", "internal/exchange/carried.go",
 		"return id != \"\" && slices.Contains(c.hashes, hashOf(id))", "return id != \"\" && slices.Contains(c.hashes, hashOf(id)) && false",
