--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -33,7 +33,9 @@
 const (
 	// maximumAnswer is the largest size of an answer, in bytes. An answer must fit into one frame to the root node of
 	// the search, together with the answers of other back ends.
-	maximumAnswer   = 4 << 20
+	maximumAnswer = 4 << 20
+	// maximumHead is the largest head of an answer, in bytes.
+	maximumHead     = 64 << 10
 	dialTimeout     = 500 * time.Millisecond
 	idleConnTimeout = 90 * time.Second
 	describeTimeout = time.Second
@@ -58,6 +60,7 @@
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, Protocols: protocols, MaxConnsPerHost: connectionsPerBackEnd,
 		MaxIdleConnsPerHost: connectionsPerBackEnd, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maximumHead,
 	}
 	return &Client{
 		client:  &http.Client{Transport: transport},
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -95,6 +95,22 @@
 	}
 }
 
+// TestAnswerHeadTooLarge guards against an answer whose head fills the memory of the process. The attempt is lost.
+func TestAnswerHeadTooLarge(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(stiletrailv1connect.NewBackEndServiceHandler(scriptedBackEnd{answer: func(request *stiletrailv1.QueryRequest) (*stiletrailv1.QueryResponse, error) {
+		return validResponse(request), nil
+	}}))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 2*maximumHead))
+		mux.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	if result := run(t, strings.TrimPrefix(server.URL, "http://")); result.Status != query.StatusLost {
+		t.Errorf("status %d, want %d", result.Status, query.StatusLost)
+	}
+}
+
 // startFaultyBackEnd listens on a free port and calls handle with each connection. It returns the address, and the
 // counter of the requests that arrived, which handle increments.
 func startFaultyBackEnd(t *testing.T, handle func(connection net.Conn, requests *atomic.Int64)) (string, *atomic.Int64) {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -109,7 +109,7 @@
 }
 
 func (s *Server) listenAuxiliary(address string, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes}
 	listener, err := listen(address)
 	if err != nil {
 		return err
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -83,6 +83,26 @@
 	}
 }
 
+// TestHeadsAreBounded guards against a request whose head fills the memory of the process, at each of the addresses.
+func TestHeadsAreBounded(t *testing.T) {
+	_, addresses := start(t, &fakeNode{})
+	for _, address := range []string{addresses.Callers, addresses.Ready, addresses.Metrics} {
+		request, err := http.NewRequest(http.MethodGet, "http://"+address+"/ready", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("X-Long", strings.Repeat("x", 128<<10))
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("a head of 128 kB is answered with status %d, want 431", response.StatusCode)
+		}
+	}
+}
+
 // TestAddressTaken: Start fails if an address is already in use.
 func TestAddressTaken(t *testing.T) {
 	node := &fakeNode{}
