Bodies of requests and answers share a bound on memory

Cause: 8 MiB is the limit of one answer; their number is bounded by connections only. And `make([]byte, ContentLength)` takes what is announced.

Change: package membudget. A request's account is closed when its answer has been written. A quarter of the budget is left for bodies up to 16 KiB. An answer that does not fit is lost ("may have run") and does not count against its back end; a request whose body does not fit is refused as not run, with Retry-After.

Evidence on the code before: TestMemoryOfAnnouncedBody " bytes were allocated for a body of which a few bytes came". The other tests need the budget; each of their six guards in internal/mutation is caught.

--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -18,6 +18,7 @@
 	"stiletrail/internal/exchange"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/gateway"
+	"stiletrail/internal/membudget"
 	"stiletrail/internal/serving"
 	"stiletrail/internal/settings"
 	"stiletrail/internal/telemetry"
@@ -36,6 +37,10 @@
 // default of the Go runtime because memory is more expensive here than processor time.
 const garbageCollectionPercent = 40
 
+// bodyMemoryDivisor is n where the bodies of requests and answers may take one n-th of the process's memory. The rest is
+// for the copy of the store, connections, heads of messages and garbage.
+const bodyMemoryDivisor = 4
+
 // logCloseTimeout is the longest time that the last lines of the log may take to be written when the process ends.
 const logCloseTimeout = 100 * time.Millisecond
 
@@ -68,11 +73,12 @@
 	pool := exchange.NewPool()
 	metrics := telemetry.New(log)
 	pool.OnConnected = metrics.RecordConnectTime
+	bodies := membudget.New(int64(loaded.MemoryMB) << 20 / bodyMemoryDivisor)
 	store := platform.NewStoreClient(loaded.StoreAddress)
 	backEnds := platform.NewBackEnds(pool)
 	node := gateway.New(gateway.FromSettings(loaded), backEnds, store, metrics)
 	addresses := serving.Addresses{Callers: loaded.CallerAddress, Ready: loaded.ReadyAddress, Metrics: loaded.MetricsAddress}
-	server, err := serving.Start(node, addresses, platform.NewIngress(node), metrics, log)
+	server, err := serving.Start(node, addresses, platform.NewIngress(node, bodies), metrics, log)
 	if err != nil {
 		log.Stopped(err.Error())
 		return exitFailed
@@ -85,7 +91,7 @@
 	defer closePeers()
 	metrics.RegisterGauges(telemetry.GaugeSource{
 		Gateway: node, BackEndConnections: pool.OpenCount.Load, BackEndConnectionsOpened: pool.OpenedTotal.Load,
-		LogLinesDropped: writer.Dropped, MalformedLoads: backEnds.MalformedLoads, OversizedAnswers: pool.OversizedTotal.Load, PeerFrames: frames,
+		LogLinesDropped: writer.Dropped, MalformedLoads: backEnds.MalformedLoads, OversizedAnswers: pool.OversizedTotal.Load, BodyMemory: bodies, PeerFrames: frames,
 	})
 	log.Started(loaded, loaded.IgnoredSettings())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -94,7 +92,7 @@
 	if err != nil {
 		return Result{Stage: c.stage(), Err: failure.Wrap(err, failure.OutcomeUnknown, "the connection ended before the back end answered")}, false
 	}
-	body, err := readBody(message, response, request.MaximumBody)
+	body, err := readBody(message, response, request)
 	if err != nil {
 		return Result{Stage: c.stage(), Err: failure.Wrap(err, failure.OutcomeUnknown, "the connection ended within the back end's answer")}, false
 	}
@@ -150,26 +148,6 @@
 	}
 }
 
-func readBody(message *http.Request, response *http.Response, maximum int64) ([]byte, error) {
-	if message.Method == http.MethodHead {
-		return nil, nil
-	}
-	if response.ContentLength > maximum {
-		return nil, errTooLarge
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	var buffer bytes.Buffer
-	read, err := io.Copy(&buffer, io.LimitReader(response.Body, maximum+1))
-	if err == nil && read > maximum {
-		err = errTooLarge
-	}
-	return buffer.Bytes(), err
-}
-
 // canKeepAlive reports whether the answer stated its length, the back end keeps the connection open, no byte followed
 // the answer, and the connection may carry more requests.
 func (c *connection) canKeepAlive(response *http.Response) bool {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"stiletrail/internal/failure"
+	"stiletrail/internal/membudget"
 )
 
 // Stage is how far an exchange has progressed.
@@ -70,6 +71,8 @@
 	Prepare func() (*http.Request, error)
 	// MaximumBody is the largest accepted body of an answer, in bytes.
 	MaximumBody int64
+	// Memory is the account out of which the body of the answer is read. nil sets no limit beside MaximumBody.
+	Memory *membudget.Account
 	// MaximumIdle is the number of connections to the endpoint that may be kept idle for later requests. A further
 	// connection is closed after its answer.
 	MaximumIdle int
--- a/internal/exchange/size.go
+++ b/internal/exchange/size.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"math"
+	"net/http"
 )
 
 // MaximumHead is the largest head of an answer in bytes, together with the interim answers before it.
@@ -40,3 +41,20 @@
 	r.remaining -= int64(n)
 	return n, err
 }
+
+// readBody reads the whole body of an answer out of the request's account.
+func readBody(message *http.Request, response *http.Response, request Request) ([]byte, error) {
+	switch {
+	case message.Method == http.MethodHead:
+		return nil, nil
+	case response.ContentLength > request.MaximumBody:
+		return nil, errTooLarge
+	case response.ContentLength >= 0:
+		return request.Memory.Read(response.Body, response.ContentLength)
+	}
+	body, err := request.Memory.Read(response.Body, request.MaximumBody+1)
+	if err == nil && int64(len(body)) > request.MaximumBody {
+		err = errTooLarge
+	}
+	return body, err
+}
--- a/internal/exchange/size_test.go
+++ b/internal/exchange/size_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -55,6 +56,27 @@
 	}
 }
 
+// TestMemoryOfAnnouncedBody guards against memory being taken for a body that is announced but never sent.
+func TestMemoryOfAnnouncedBody(t *testing.T) {
+	const announced = 64 << 20
+	s := serve(t, func(socket net.Conn, _ int64) bool {
+		_, _ = fmt.Fprintf(socket, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nonly a few bytes", announced)
+		return false
+	})
+	r := request(s.address())
+	r.MaximumBody = announced
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	result := exchange.NewPool().Do(context.Background(), r)
+	runtime.ReadMemStats(&after)
+	if result.Stage != exchange.Sent {
+		t.Errorf("the exchange ended in stage %v, want Sent: the body ended early", result.Stage)
+	}
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > announced/8 {
+		t.Errorf("%d bytes were allocated for a body of which a few bytes came", allocated)
+	}
+}
+
 // TestBodyOfEachLength checks that bodies of all lengths arrive complete, with and without an announced length.
 func TestBodyOfEachLength(t *testing.T) {
 	for _, length := range []int{0, 1, 511, 512, 513, 4096, 100_000, 1 << 20} {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -56,6 +56,8 @@
 	// BackEndCrashed is set if the back end itself has ended and accepts no connections any more. A connection that
 	// breaks while the back end lives does not count.
 	BackEndCrashed bool
+	// NoMemory is set with Lost if this node had no memory left for the answer. It says nothing about the back end.
+	NoMemory bool
 	// Load is the load that the back end reported with its answer.
 	Load replica.Load
 	// Detail says what happened, for logs.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,6 +84,8 @@
 		return replica.Unreachable
 	case outcome.ConnectionRejected:
 		return replica.ConnectionRejected
+	case outcome.NoMemory:
+		return replica.Neutral
 	}
 	switch outcome.Kind {
 	case forward.Answered:
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -14,6 +14,36 @@
 		"	c.arriving.limit(MaximumHead)\n", "	c.arriving.removeLimit()\n",
 		"./internal/exchange", "TestAnswerHeadTooLarge",
 	},
+	{
+		"memory is taken for a body before it arrives", "internal/membudget/read.go",
+		"first := min(firstBuffer, largest)", "first := largest",
+		"./internal/exchange", "TestMemoryOfAnnouncedBody",
+	},
+	{
+		"the bodies of all requests together may take any memory", "internal/membudget/membudget.go",
+		"if b.used.Add(bytes) <= limit {", "if b.used.Add(bytes); limit > 0 {",
+		"./platform", "TestAnswerBeyondMemory",
+	},
+	{
+		"large bodies take the memory that is reserved for small ones", "internal/membudget/membudget.go",
+		"	if !small {\n", "	if false {\n",
+		"./internal/membudget", "TestLargeBodiesLeaveMemoryForSmallOnes",
+	},
+	{
+		"the memory of a body that could not be read stays taken", "internal/membudget/read.go",
+		"		a.giveBack(int64(cap(body)))\n", "",
+		"./internal/membudget", "TestFailedReadReturnsMemory",
+	},
+	{
+		"a request that has ended takes memory that nobody returns", "internal/membudget/membudget.go",
+		"if a.closed || !a.budget.take(bytes, small) {", "if !a.budget.take(bytes, small) {",
+		"./internal/membudget", "TestClosedAccountTakesNothing",
+	},
+	{
+		"a back end counts as faulty when this node has no memory for its answer", "internal/gateway/attempt.go",
+		"	case outcome.NoMemory:\n		return replica.Neutral\n", "",
+		"./platform", "TestAnswerWithoutMemoryMayHaveRun",
+	},
 	{
 		"a refusal without an id counts whatever its connection has carried", "platform/backend.go",
 		"return refused && answer.FirstAnswer", "return refused",
--- a/internal/settings/compatibility_test.go
+++ b/internal/settings/compatibility_test.go
@@ -46,6 +46,7 @@
 		"retry_pace":               {"RetryPace", 30 * time.Millisecond},
 		"early_finish":             {"EarlyFinish", false},
 		"maximum_requests":         {"MaximumRequests", 1500},
+		"memory_mb":                {"MemoryMB", 284},
 		"sibling_hedges":           {"SiblingHedges", false},
 		"last_extras":              {"LastExtras", 3},
 		"extras_by_need":           {"ExtrasByNeed", false},
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -62,6 +62,8 @@
 	EarlyFinish bool
 	// MaximumRequests is the largest number of requests in flight.
 	MaximumRequests int
+	// MemoryMB is the memory that the process may take, in megabytes.
+	MemoryMB int
 
 	// SiblingHedges makes the node hedge a shard that takes much longer than the other shards of its request.
 	SiblingHedges bool
@@ -147,7 +149,7 @@
 		WithdrawnFactor: 2, FarPrice: 0.5, FaultPrice: 2, GoByPace: true, Reports: true, SharedHealth: true,
 		Connections: 4, SubsetSize: 2, FewRest: true, ShareConnections: true, YoungPart: 2, ProveConnections: true,
 		Ejection: true, Doubt: true, StoreTurns: true, Watchers: 3, PeerCopies: true,
-		MaximumRequests: 2000, StartingHold: 250 * time.Millisecond, TurnAway: true, Priorities: true, QuarantineRounds: 3, QuarantineFor: 10 * time.Minute,
+		MaximumRequests: 2000, MemoryMB: 256, StartingHold: 250 * time.Millisecond, TurnAway: true, Priorities: true, QuarantineRounds: 3, QuarantineFor: 10 * time.Minute,
 	}
 }
 
@@ -182,6 +184,7 @@
 	{"retry_pace", "0s to 10s", false, duration(0, 10*time.Second, func(s *Gateway) *time.Duration { return &s.RetryPace })},
 	{"early_finish", booleanAllowed, false, boolean(func(s *Gateway) *bool { return &s.EarlyFinish })},
 	{"maximum_requests", "1 to 1000000", false, integer(1, 1000000, func(s *Gateway) *int { return &s.MaximumRequests })},
+	{"memory_mb", "16 to 1048576", false, integer(16, 1<<20, func(s *Gateway) *int { return &s.MemoryMB })},
 	{"sibling_hedges", booleanAllowed, false, boolean(func(s *Gateway) *bool { return &s.SiblingHedges })},
 	{"last_extras", "0 to 1000", false, integer(0, 1000, func(s *Gateway) *int { return &s.LastExtras })},
 	{"extras_by_need", booleanAllowed, false, boolean(func(s *Gateway) *bool { return &s.ExtrasByNeed })},
--- a/internal/telemetry/compatibility_test.go
+++ b/internal/telemetry/compatibility_test.go
@@ -14,6 +14,7 @@
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
 	"stiletrail/internal/history"
+	"stiletrail/internal/membudget"
 	"stiletrail/internal/quarantine"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/settings"
@@ -45,7 +46,7 @@
 	count := func() int64 { return 1 }
 	metrics.RegisterGauges(telemetry.GaugeSource{
 		Gateway: gateway.New(gateway.FromSettings(settings.DefaultGateway()), nil, nil, metrics), BackEndConnections: count,
-		BackEndConnectionsOpened: count, LogLinesDropped: func() uint64 { return 1 }, MalformedLoads: count, OversizedAnswers: count, PeerFrames: &transport.Counters{},
+		BackEndConnectionsOpened: count, LogLinesDropped: func() uint64 { return 1 }, MalformedLoads: count, OversizedAnswers: count, BodyMemory: membudget.New(1), PeerFrames: &transport.Counters{},
 	})
 	attempts := []*forward.Attempt{}
 	for _, purpose := range []forward.Purpose{forward.First, forward.Hedge, forward.Retry} {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -19,6 +19,7 @@
 	"stiletrail/internal/gateway"
 	"stiletrail/internal/history"
 	"stiletrail/internal/limit"
+	"stiletrail/internal/membudget"
 	"stiletrail/internal/quarantine"
 	"stiletrail/internal/quota"
 	"stiletrail/internal/replica"
@@ -45,6 +46,8 @@
 	MalformedLoads func() int64
 	// OversizedAnswers returns the number of answers of back ends that were larger than allowed.
 	OversizedAnswers func() int64
+	// BodyMemory is the budget for the bodies of requests and answers.
+	BodyMemory *membudget.Budget
 	// PeerFrames has the counters of the frames exchanged with other nodes. It is nil if the node has no peer address.
 	PeerFrames *transport.Counters
 }
@@ -246,6 +249,8 @@
 	gauge("stiletrail_zones_evacuated", func() float64 { return float64(source.Gateway.Status().EvacuatedZones) })
 	gauge("stiletrail_loads_malformed_total", func() float64 { return float64(source.MalformedLoads()) })
 	gauge("stiletrail_answers_oversized_total", func() float64 { return float64(source.OversizedAnswers()) })
+	gauge("stiletrail_body_memory_bytes", func() float64 { return float64(source.BodyMemory.Used()) })
+	gauge("stiletrail_body_memory_exhausted_total", func() float64 { return float64(source.BodyMemory.Exhausted()) })
 	gauge("stiletrail_requests_quarantined", func() float64 { return float64(source.Gateway.Status().Quarantined) })
 	m.registerQuotaGauges(source.Gateway)
 	gauge("stiletrail_shards_waiting", func() float64 { return float64(source.Gateway.Status().Waiting) })
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -9,6 +9,7 @@
 	"stiletrail/internal/failure"
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
+	"stiletrail/internal/membudget"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/settings"
 	"stiletrail/internal/telemetry"
@@ -34,7 +35,7 @@
 	frames.SentFrames.Store(5)
 	metrics.RegisterGauges(telemetry.GaugeSource{
 		Gateway: node, BackEndConnections: func() int64 { return 3 }, BackEndConnectionsOpened: func() int64 { return 9 },
-		LogLinesDropped: func() uint64 { return 2 }, MalformedLoads: func() int64 { return 3 }, OversizedAnswers: func() int64 { return 4 }, PeerFrames: frames,
+		LogLinesDropped: func() uint64 { return 2 }, MalformedLoads: func() int64 { return 3 }, OversizedAnswers: func() int64 { return 4 }, BodyMemory: membudget.New(1), PeerFrames: frames,
 	})
 	attempt := &forward.Attempt{
 		Replica: &replica.Replica{}, Purpose: forward.Hedge, StartedAt: time.Second, EndedAt: 1100 * time.Millisecond,
