Memory for a frame of another node is taken as it arrives

A header of 16 bytes made a node allocate up to 8 MiB, on each of up to 16,384 connections. The payload is read into a buffer that grows with what arrives. How much all connections may take together has no bound yet; docs/OPERATIONS.md, "What takes memory", says so.

--- a/internal/membudget/read.go
+++ b/internal/membudget/read.go
@@ -9,6 +9,9 @@
 	smallBody = 16 << 10
 )
 
+// Read is Account.Read without a budget.
+func Read(from io.Reader, largest int64) ([]byte, error) { return (*Account)(nil).Read(from, largest) }
+
 // Read reads until the end or until a number of bytes have been read, and returns them. The buffer grows with the bytes
 // that arrive, since a sender may announce more than it sends, and each growth is taken out of the account. Read fails
 // with ErrExhausted if that is not possible. A read that fails returns what it has taken.
--- a/internal/transport/incoming.go
+++ b/internal/transport/incoming.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"stiletrail/internal/failure"
+	"stiletrail/internal/membudget"
 	"stiletrail/internal/message"
 )
 
@@ -83,8 +84,11 @@
 		return nil, err
 	}
 	_ = connection.SetReadDeadline(time.Now().Add(payloadTimeout))
-	payload := make([]byte, header.Length)
-	if _, err := io.ReadFull(reader, payload); err != nil {
+	payload, err := membudget.Read(reader, int64(header.Length))
+	if err == nil && len(payload) < int(header.Length) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return nil, failure.Wrap(err, failure.PeerUnreachable, "the connection to the peer ended within a frame")
 	}
 	t.Counters.ReceivedFrames.Add(1)
