"Not sent" is said when nothing can write the request any more

Cause: a request with a body is written by a goroutine of its own. When reading the answer failed, the verdict went by a count of bytes that this goroutine could raise a moment later. It is the family of the late copies of refusals: "has not run" drawn while it may still run.

Evidence: TestNotSentIsFinal, with the order given and no clock, on the code before: "the exchange ended in stage 0, and 84 bytes were sent; want NotSent and none".

Change: an exchange without an answer closes its socket, which ends a write in progress, and waits for the writer before it says how far it got. The count is of bytes that the connection has accepted: a write that was refused as a whole on a closed connection has sent nothing, so such a request may still go elsewhere.

The guard in internal/mutation is caught.

--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -39,22 +39,24 @@
 	idleTimeout time.Duration
 	// onClose is called when the connection is closed.
 	onClose func()
+	// carried has the ids of the requests that were sent on the connection.
 	carried carriedIDs
 	// answersRead is the number of answers read on the connection.
 	answersRead int
 }
 
-// countingWriter counts the bytes written to the connection.
+// countingWriter counts the bytes that the connection has accepted, which the back end may get. While a write is in
+// progress, the count does not include its bytes.
 type countingWriter struct {
 	net.Conn
-	written atomic.Int64
+	accepted atomic.Int64
 }
 
-// Write implements io.Writer. It counts the bytes before the write, since a failed write may have sent some of
-// them.
+// Write implements io.Writer.
 func (w *countingWriter) Write(data []byte) (int, error) {
-	w.written.Add(int64(len(data)))
-	return w.Conn.Write(data)
+	n, err := w.Conn.Write(data)
+	w.accepted.Add(int64(n))
+	return n, err
 }
 
 func newConnection(socket net.Conn, onClose func()) *connection {
@@ -78,7 +80,7 @@
 // roundTrip writes the request and reads the answer. The connection is reusable only if the whole request was
 // written, a complete answer of a stated length was read, and no byte followed it.
 func (c *connection) roundTrip(request Request) (result Result, reusable bool) {
-	c.counter.written.Store(0)
+	c.counter.accepted.Store(0)
 	message, err := request.Prepare()
 	if err != nil {
 		return Result{Stage: NotSent, Err: err}, true
@@ -87,46 +89,67 @@
 		return Result{Stage: NotSent, Err: failure.Wrap(err, failure.NoReplica, "cannot set the deadline: the connection to the back end is closed")}, false
 	}
 	c.carried.add(request.ID)
-	written := c.write(message)
+	writing := c.write(message)
 	response, err := c.readHead(message)
 	if err != nil {
-		return Result{Stage: c.stage(), Err: failure.Wrap(err, failure.OutcomeUnknown, "the connection ended before the back end answered")}, false
+		return c.unanswered(writing, failure.Wrap(err, failure.OutcomeUnknown, "the connection ended before the back end answered")), false
 	}
 	body, err := readBody(message, response, request)
 	if err != nil {
-		return Result{Stage: c.stage(), Err: failure.Wrap(err, failure.OutcomeUnknown, "the connection ended within the back end's answer")}, false
+		return c.unanswered(writing, failure.Wrap(err, failure.OutcomeUnknown, "the connection ended within the back end's answer")), false
 	}
 	c.answersRead++
 	result = Result{Stage: Answered, Status: response.StatusCode, Header: response.Header, Body: body, FirstAnswer: c.answersRead == 1}
-	reusable = written() && c.canKeepAlive(response) && request.AnswerMatches(result)
+	reusable = writing.complete() && c.canKeepAlive(response) && request.AnswerMatches(result)
 	return result, reusable
 }
 
+// requestWriting is the writing of one request.
+type requestWriting struct {
+	// done is closed when nothing is written any more. err is set before that.
+	done chan struct{}
+	err  error
+}
+
+// complete reports, without waiting, whether the whole request has been written.
+func (w *requestWriting) complete() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
 // write sends the request. A request with a body is written by a separate goroutine while the answer is read, since
-// the back end may answer before it has read the body. The returned function reports, without waiting, whether the
-// whole request has been written.
-func (c *connection) write(message *http.Request) func() bool {
+// the back end may answer before it has read the body.
+func (c *connection) write(message *http.Request) *requestWriting {
+	writing := &requestWriting{done: make(chan struct{})}
 	if message.Body == nil || message.Body == http.NoBody {
-		err := c.writeAll(message)
-		return func() bool { return err == nil }
+		c.writeAll(message, writing)
+	} else {
+		go c.writeAll(message, writing)
 	}
-	var complete atomic.Bool
-	go func() { complete.Store(c.writeAll(message) == nil) }()
-	return complete.Load
+	return writing
 }
 
-func (c *connection) writeAll(message *http.Request) error {
-	if err := message.Write(c.writer); err != nil {
-		return err
+func (c *connection) writeAll(message *http.Request, writing *requestWriting) {
+	defer close(writing.done)
+	writing.err = message.Write(c.writer)
+	if writing.err == nil {
+		writing.err = c.writer.Flush()
 	}
-	return c.writer.Flush()
 }
 
-func (c *connection) stage() Stage {
-	if c.counter.written.Load() == 0 {
-		return NotSent
+// unanswered returns the result of an exchange that has ended without a complete answer. It closes the socket, which
+// ends a write that is in progress, and waits for the writer: until then bytes of the request may be sent.
+func (c *connection) unanswered(writing *requestWriting, cause *failure.Failure) Result {
+	c.abort()
+	<-writing.done
+	if c.counter.accepted.Load() == 0 {
+		return Result{Stage: NotSent, Err: cause}
 	}
-	return Sent
+	return Result{Stage: Sent, Err: cause}
 }
 
 // readHead reads the head of the final answer and skips interim answers. All heads together may take MaximumHead.
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -49,6 +49,11 @@
 		"return refused && answer.FirstAnswer", "return refused",
 		"./platform", "TestRefusalWithoutID",
 	},
+	{
+		"a request counts as not sent while it may still be written", "internal/exchange/connection.go",
+		"	c.abort()\n	<-writing.done\n", "",
+		"./internal/exchange", "TestNotSentIsFinal",
+	},
 	{
 		"a connection carries a request again", "internal/exchange/carried.go",
 		"return id != \"\" && slices.Contains(c.hashes, hashOf(id))", "return id != \"\" && slices.Contains(c.hashes, hashOf(id)) && false",
