--- a/cmd/stiletrail-gateway/main.go
+++ b/cmd/stiletrail-gateway/main.go
@@ -73,12 +73,12 @@
 	pool := exchange.NewPool()
 	metrics := telemetry.New(log)
 	pool.OnConnected = metrics.RecordConnectTime
-	bodies := membudget.New(int64(loaded.MemoryMB) << 20 / bodyMemoryDivisor)
+	bodyMemory := membudget.New(int64(loaded.MemoryMB) << 20 / bodyMemoryDivisor)
 	store := platform.NewStoreClient(loaded.StoreAddress)
 	backEnds := platform.NewBackEnds(pool)
 	node := gateway.New(gateway.FromSettings(loaded), backEnds, store, metrics)
 	addresses := serving.Addresses{Callers: loaded.CallerAddress, Ready: loaded.ReadyAddress, Metrics: loaded.MetricsAddress}
-	server, err := serving.Start(node, addresses, platform.NewIngress(node, bodies), metrics, log)
+	server, err := serving.Start(node, addresses, platform.NewIngress(node, bodyMemory), metrics, log)
 	if err != nil {
 		log.Stopped(err.Error())
 		return exitFailed
@@ -91,7 +91,8 @@
 	defer closePeers()
 	metrics.RegisterGauges(telemetry.GaugeSource{
 		Gateway: node, BackEndConnections: pool.OpenCount.Load, BackEndConnectionsOpened: pool.OpenedTotal.Load,
-		LogLinesDropped: writer.Dropped, MalformedLoads: backEnds.MalformedLoads, OversizedAnswers: pool.OversizedTotal.Load, BodyMemory: bodies, PeerFrames: frames,
+		LogLinesDropped: writer.Dropped, MalformedLoads: backEnds.MalformedLoads, OversizedAnswers: pool.OversizedTotal.Load,
+		BodyMemory: bodyMemory, PeerFrames: frames,
 	})
 	log.Started(loaded, loaded.IgnoredSettings())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -6,7 +6,8 @@
 //
 // The package owns the connections to back ends. During an exchange, a connection belongs to that exchange
 // (connection.go). Between exchanges it belongs to the pool, which closes it once its idle time is over (pool.go).
-// A connection in an uncertain state is closed. Request.ConnectTimeout bounds the opening of a connection.
+// A connection in an uncertain state is closed. Each connection carries the id of a request once (carried.go), and the
+// head and body of an answer have a largest size (size.go). Request.ConnectTimeout bounds the opening of a connection.
 // Request.Deadline and the context bound the whole exchange. userTimeout bounds the time for which written bytes
 // may stay unacknowledged. The package reads the machine's clocks and does network I/O. A Pool has its own lock,
 // which is not held during I/O.
