--- a/internal/exchange/verdict_test.go
+++ b/internal/exchange/verdict_test.go
@@ -141,7 +141,7 @@
 func TestDrawnVerdicts(t *testing.T) {
 	arriving := map[string]string{
 		"bytes that are no answer": "no answer\r\n",
-		"a refusal":                "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"a refusal":                "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
 		"a part of an answer":      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
 		"nothing":                  "",
 	}
