Send request targets as they are: net/http changed those with two slashes at their begin

A back end that rejects such a target fails the request with 400, and the caller gets 502.

Cause: http.Request.Write takes the request line from url.URL.RequestURI, which puts the scheme and a colon before an opaque part that begins with two slashes.

Change: internal/exchange writes requests itself (write.go). Content-Length, host and the order of headers are written as before.

TestWrittenRequests compares bytes, with a guard.

--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -135,7 +135,7 @@
 
 func (c *connection) writeAll(message *http.Request, writing *requestWriting) {
 	defer close(writing.done)
-	writing.err = message.Write(c.writer)
+	writing.err = writeRequest(c.writer, message)
 	if writing.err == nil {
 		writing.err = c.writer.Flush()
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -2,7 +2,7 @@
 //
 // The Transport of net/http sends some requests a second time if a reused connection turns out to be closed. This
 // package writes a request to exactly one connection and tells the caller whether any byte of it was written. It
-// uses net/http to write requests and to parse answers.
+// writes requests itself (write.go) and uses net/http to parse answers.
 //
 // The package owns the connections to back ends. During an exchange, a connection belongs to that exchange
 // (connection.go). Between exchanges it belongs to the pool, which closes it once its idle time is over (pool.go).
@@ -68,7 +68,8 @@
 	// for longer may have stopped working unnoticed.
 	NotRepeatable bool
 	// Prepare builds the HTTP request. It is called when the connection is open, immediately before the request is
-	// written.
+	// written. The target is URL.Opaque, the length of the body ContentLength; nothing is added to the headers but the
+	// host and that length.
 	Prepare func() (*http.Request, error)
 	// MaximumBody is the largest accepted body of an answer, in bytes.
 	MaximumBody int64
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -54,6 +54,11 @@
 		"	c.abort()\n	<-writing.done\n", "",
 		"./internal/exchange", "TestNotSentIsFinal",
 	},
+	{
+		"the target of a request is rewritten by package url", "internal/exchange/write.go",
+		"message.Method, message.URL.Opaque, message.Host", "message.Method, message.URL.RequestURI(), message.Host",
+		"./internal/exchange", "TestWrittenRequests",
+	},
 	{
 		"a connection carries a request again", "internal/exchange/carried.go",
 		"return id != \"\" && slices.Contains(c.hashes, hashOf(id))", "return id != \"\" && slices.Contains(c.hashes, hashOf(id)) && false",
