--- a/internal/quota/drawn_test.go
+++ b/internal/quota/drawn_test.go
@@ -165,3 +165,51 @@
 		t.Errorf("%d were sent and %d refused", len(r.sent), r.refused)
 	}
 }
+
+// TestDrawnRestartsHoldTheBound: however often all nodes, half of them or a few are restarted, also again before a window
+// has passed, no window has more than the bound. One tenant sends several times its limit all the time. Beside it links
+// are cut, nodes are lost and return, and limits are lowered.
+func TestDrawnRestartsHoldTheBound(t *testing.T) {
+	for seed := range uint64(drawnCases) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 78))
+			f := newFleet(t, seed, 3+random.IntN(30), 1+random.IntN(4))
+			f.loss, f.jitter = 0.1*random.Float64(), 1+random.IntN(30)
+			d := drawnDay{fleet: f, random: random, begin: f.now, end: f.now + 40*clock.Second}
+			d.drawTenants()
+			key := LimitIDOf("tenant", "hot")
+			d.limits[key] = limitFor(2+20*random.Float64(), float64(random.IntN(40)))
+			d.load(key, 7*d.limits[key].Allowed/5, d.nodes, d.end, 60)
+			for range 1 + random.IntN(3) {
+				d.drawRestarts()
+			}
+			if random.IntN(2) == 0 {
+				d.drawFaults()
+			}
+			f.run(d.end)
+			d.check()
+		})
+	}
+}
+
+// drawRestarts draws some restarts of the same nodes, each soon after the one before.
+func (d *drawnDay) drawRestarts() {
+	share := []float64{1, 1, 0.5, 0.1}[d.random.IntN(4)]
+	var nodes []*node
+	for _, n := range d.nodes {
+		if d.random.Float64() < share {
+			nodes = append(nodes, n)
+		}
+	}
+	at := d.moment()
+	for range 1 + d.random.IntN(4) {
+		d.at(at, func() {
+			for _, n := range nodes {
+				if n.up {
+					d.restart(n, clock.Ms(100+d.random.IntN(400)), clock.Ms(100+d.random.IntN(400)))
+				}
+			}
+		})
+		at += clock.Ms(700 + d.random.IntN(4000))
+	}
+}
