Frames of peers: the lists of a frame are limited in memory, not only in the bytes that arrive

Cause: an empty string takes one byte in a frame and sixteen in memory, and the limit of 65,536 items is one of each list, not of all.

Change: the decoder adds up what lists take and rejects the frame beyond 16 MiB, before it allocates.

Evidence: TestMemoryOfDecodedFrame fails before ("decoding took bytes of memory, want at most"). Guard in internal/mutation.

--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -1,6 +1,9 @@
 package message
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+	"unsafe"
+)
 
 // codec reads or writes the fields of a message. A message lists its fields once, in its method fields, for both
 // directions.
@@ -8,6 +11,8 @@
 	buffer  []byte
 	reading bool
 	failed  bool
+	// listBytes is the memory in bytes that the lists which were read take.
+	listBytes int
 }
 
 func (c *codec) consume(size int) []byte {
@@ -142,6 +147,12 @@
 			c.failed = true
 			return
 		}
+		var item Item
+		c.listBytes += length * int(unsafe.Sizeof(item))
+		if c.listBytes > maximumLists {
+			c.failed = true
+			return
+		}
 		*items = nil
 		if length > 0 {
 			*items = make([]Item, length)
--- a/internal/message/frame.go
+++ b/internal/message/frame.go
@@ -10,9 +10,11 @@
 
 // Limits of a frame, in bytes or items. A frame above a limit is malformed.
 const (
-	// MaximumPayload is the largest payload in bytes. It bounds the memory that one frame can make the receiver
-	// allocate.
+	// MaximumPayload is the largest payload in bytes.
 	MaximumPayload = 8 << 20
+	// maximumLists is the largest size in memory of the lists in one frame, without what their strings and byte slices
+	// refer to, which is a part of the payload. An empty string takes one byte of the payload and sixteen in memory.
+	maximumLists = 2 * MaximumPayload
 	// MaximumItems is the largest number of items in a list. A sender must not send a longer one.
 	MaximumItems = 1 << 16
 	// magic is the first field of each frame.
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -129,7 +130,9 @@
 			return
 		}
 		c := codec{buffer: payload, reading: true}
-		m.fields(&c)
+		if allocated := allocatedBy(func() { m.fields(&c) }); allocated > maximumFrameMemory {
+			t.Errorf("decoding %d bytes took %d bytes of memory, want at most %d", len(payload), allocated, maximumFrameMemory)
+		}
 		if c.failed || len(c.buffer) > 0 {
 			return
 		}
@@ -140,6 +143,41 @@
 	})
 }
 
+// TestMemoryOfDecodedFrame guards against a frame that takes many times its size in memory once it is decoded: lists of
+// empty strings within a list.
+func TestMemoryOfDecodedFrame(t *testing.T) {
+	m := &Evidence{Requests: make([]RequestEvidence, 120)}
+	for i := range m.Requests {
+		m.Requests[i].SafeVersions = make([]string, MaximumItems)
+	}
+	frame := Encode(m)
+	m = nil
+	if len(frame) > MaximumPayload {
+		t.Fatalf("the frame has %d bytes, which is more than is allowed", len(frame))
+	}
+	allocated := allocatedBy(func() {
+		if _, err := decode(frame); failure.CodeOf(err) != failure.Malformed {
+			t.Errorf("decoding ended with error %v, want the code MALFORMED", err)
+		}
+	})
+	if allocated > maximumFrameMemory {
+		t.Errorf("decoding took %d bytes of memory, want at most %d", allocated, maximumFrameMemory)
+	}
+}
+
+// maximumFrameMemory is the memory that decoding a frame may take: its lists, and a copy of the payload in strings and byte
+// slices.
+const maximumFrameMemory = maximumLists + 2*MaximumPayload
+
+// allocatedBy returns how many bytes of memory a function allocates.
+func allocatedBy(run func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
 // TestMalformedLengths: a length is malformed if its encoding is longer than necessary or truncated, or if it
 // exceeds the payload.
 func TestMalformedLengths(t *testing.T) {
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -59,6 +59,11 @@
 		"message.Method, message.URL.Opaque, message.Host", "message.Method, message.URL.RequestURI(), message.Host",
 		"./internal/exchange", "TestWrittenRequests",
 	},
+	{
+		"the lists of a frame take any memory", "internal/message/codec.go",
+		"if c.listBytes > maximumLists {", "if false {",
+		"./internal/message", "TestMemoryOfDecodedFrame",
+	},
 	{
 		"a connection carries a request again", "internal/exchange/carried.go",
 		"return id != \"\" && slices.Contains(c.hashes, hashOf(id))", "return id != \"\" && slices.Contains(c.hashes, hashOf(id)) && false",
