--- a/internal/exchange/write.go
+++ b/internal/exchange/write.go
@@ -5,34 +5,28 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 
 	"stiletrail/internal/failure"
 )
 
+const headerContentLength = "Content-Length"
+
 // notCopied are the headers that are written from other fields of a request.
-var notCopied = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+var notCopied = map[string]bool{"Host": true, headerContentLength: true, "Transfer-Encoding": true, "Trailer": true}
 
 // writeRequest writes a request whose target is URL.Opaque, which it does not change, and closes its body. The Write
-// method of http.Request puts a scheme before a target that begins with two slashes, and adds a User-Agent.
+// method of http.Request puts a scheme before a target that begins with two slashes, and adds a User-Agent. An error of
+// the connection may be returned by the Flush after it only.
 func writeRequest(w *bufio.Writer, message *http.Request) error {
 	if message.Body != nil {
 		defer func() { _ = message.Body.Close() }()
 	}
-	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", message.Method, message.URL.Opaque, message.Host); err != nil {
-		return err
-	}
+	_, _ = fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", message.Method, message.URL.Opaque, message.Host)
 	if statesLength(message) {
-		if _, err := w.WriteString("Content-Length: " + strconv.FormatInt(message.ContentLength, 10) + "\r\n"); err != nil {
-			return err
-		}
-	}
-	if err := message.Header.WriteSubset(w, notCopied); err != nil {
-		return err
-	}
-	if _, err := w.WriteString("\r\n"); err != nil {
-		return err
+		_, _ = fmt.Fprintf(w, "%s: %d\r\n", headerContentLength, message.ContentLength)
 	}
+	_ = message.Header.WriteSubset(w, notCopied)
+	_, _ = w.WriteString("\r\n")
 	return writeBody(w, message)
 }
 
