Log and metrics: who confirmed the copy of the store, and since when a node knows that it is behind

A request refused for a missing route or key looked alike under each hypothesis of docs/incidents/late-news-counts-as-fresh.md: a version, and a copy that counts as fresh. Such a request's line and configuration_in_force now tell the revision of the copy, who confirmed it last (the store or a peer) and for how long the node has known of a later revision; stiletrail_copy_behind_seconds is the same as a gauge. Nothing is decided by any of it.

--- a/internal/decisionlog/compatibility_test.go
+++ b/internal/decisionlog/compatibility_test.go
@@ -19,6 +19,7 @@
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
 	"stiletrail/internal/sharedhealth"
+	"stiletrail/internal/spread"
 )
 
 // timestamp matches the field of a line that differs between runs.
@@ -53,13 +54,17 @@
 			Answer: forward.Answer{Failure: failure.NewRefusal(failure.QuotaExceeded, "", time.Second), Reason: forward.QuotaExceeded},
 			Quota:  &gateway.QuotaDecision{Answered: true, Allowed: 204, InUse: 228, Age: 26, Waited: 30},
 		})
+		log.Request(call, &gateway.Result{
+			Answer: forward.Answer{Failure: failure.New(failure.UnknownService, "")}, Version: 21, CopyAge: 340,
+			Copy: &gateway.CopyStatus{Copy: spread.Copy{Revision: at, ConfirmedBy: "10.0.0.2:1", Behind: 1200}, Age: 340},
+		})
 		log.BackEndEjected(lost, lost.Outcome)
 		log.BackEndCrashed(call, lost, 12)
 		log.BackEndJudged(replica.Entry{ID: "back-end-1", Service: "service"}, judged)
 		log.VerdictChanged(fingerprint, quarantine.Quarantined, "own", 600_000)
 		log.RetrialClaimed(fingerprint, "v2")
 		log.QuarantineNotWritten(fingerprint, down)
-		log.ConfigurationApplied(table, at)
+		log.ConfigurationApplied(table, at, gateway.CopyStatus{Copy: spread.Copy{Revision: at, ConfirmedBy: spread.Store, Behind: 40}, Age: 900})
 		log.ItemRejected(&gateway.Item{Key: "key", Revision: at, Err: errors.New("unreadable")})
 		log.BackEndUpdated(replica.Entry{ID: "back-end-1", Service: "service", Zone: "zone-a"}, at)
 		log.BackEndUpdated(replica.Entry{ID: "back-end-1", Service: "service", Zone: "zone-a", Draining: true}, at)
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -128,9 +128,10 @@
 }
 
 // ConfigurationApplied implements gateway.DecisionLog.
-func (l *Log) ConfigurationApplied(table *routing.Table, revision history.Revision) {
+func (l *Log) ConfigurationApplied(table *routing.Table, revision history.Revision, before gateway.CopyStatus) {
 	l.info(EventConfigurationApplied, logrus.Fields{
 		fieldVersion: table.Version(), fieldRevision: revision.Number, fieldEra: revision.Era, fieldRoutes: table.RouteCount(),
+		fieldCopyAge: before.Age, fieldConfirmedBy: before.ConfirmedBy, fieldBehind: before.Behind,
 	})
 }
 
--- a/internal/decisionlog/names.go
+++ b/internal/decisionlog/names.go
@@ -38,8 +38,12 @@
 	fieldWaited  = "waited_ms"
 	fieldAge     = "age_ms"
 	fieldCopyAge = "copy_age_ms"
-	fieldNode    = "node"
-	fieldPeer    = "peer"
+	// fieldConfirmedBy is who last confirmed that the copy of the store was complete: "store", or a peer's address.
+	// fieldBehind is for how long the node has known of a later revision, in milliseconds.
+	fieldConfirmedBy = "confirmed_by"
+	fieldBehind      = "behind_ms"
+	fieldNode        = "node"
+	fieldPeer        = "peer"
 	// fieldFingerprint is the same for equal requests, also of different callers. In the lines of a quarantine that holds
 	// for one caller only, it is a fingerprint of the request and the caller.
 	fieldFingerprint = "mark"
--- a/internal/decisionlog/request.go
+++ b/internal/decisionlog/request.go
@@ -32,6 +32,10 @@
 	if result.Route != nil {
 		fields[fieldRoute] = result.Route.Name
 	}
+	if known := result.Copy; known != nil {
+		fields[fieldRevision], fields[fieldEra] = known.Revision.Number, known.Revision.Era
+		fields[fieldConfirmedBy], fields[fieldBehind] = known.ConfirmedBy, known.Behind
+	}
 	if call.Tenant != nil {
 		fields[fieldTenant] = call.Tenant.Name
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -86,6 +86,9 @@
 	// CopyAge is the time between the call and the last moment at which the copy of the store was known to be complete.
 	// It is negative if it never was.
 	CopyAge clock.Ms
+	// Copy describes the copy of the store at the moment of the decision. It is set if the call's route or tenant is not
+	// known, because another version of the configuration may have it.
+	Copy *CopyStatus
 	// Attempts are all attempts that were decided. Arrived is the arrival of the call on the gateway's clock, Elapsed the
 	// time from then to the answer.
 	Attempts []*forward.Attempt
--- a/internal/gateway/decision_log.go
+++ b/internal/gateway/decision_log.go
@@ -33,8 +33,9 @@
 	RetrialClaimed(fingerprint quarantine.Fingerprint, version string)
 	// QuarantineNotWritten records that a quarantine could not be written to the store. The write is retried.
 	QuarantineNotWritten(fingerprint quarantine.Fingerprint, cause *failure.Failure)
-	// ConfigurationApplied records that the configuration of a revision of the store has come into force.
-	ConfigurationApplied(table *routing.Table, revision history.Revision)
+	// ConfigurationApplied records that the configuration of a revision of the store has come into force. before describes
+	// the copy of the store before that.
+	ConfigurationApplied(table *routing.Table, revision history.Revision, before CopyStatus)
 	// ItemRejected records that an item of the store cannot be used; item.Err says why.
 	ItemRejected(item *Item)
 	// BackEndUpdated records that the entry of a back end was added or changed.
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -249,28 +249,28 @@
 func (discardLog) BackEndCrashed(*gateway.Call, *forward.Attempt, clock.Ms) {}
 func (discardLog) VerdictChanged(quarantine.Fingerprint, quarantine.Verdict, string, clock.Ms) {
 }
-func (discardLog) RetrialClaimed(quarantine.Fingerprint, string)                       {}
-func (discardLog) QuarantineNotWritten(quarantine.Fingerprint, *failure.Failure)       {}
-func (discardLog) ConfigurationApplied(*routing.Table, history.Revision)               {}
-func (discardLog) ItemRejected(*gateway.Item)                                          {}
-func (discardLog) BackEndUpdated(replica.Entry, history.Revision)                      {}
-func (discardLog) BackEndVanished(string, bool)                                        {}
-func (discardLog) ZoneEvacuated(string, history.Revision)                              {}
-func (discardLog) ZoneEvacuationEnded(string)                                          {}
-func (discardLog) StoreListed(int, history.Revision)                                   {}
-func (discardLog) StoreRegressed(history.Revision, history.Revision)                   {}
-func (discardLog) StoreRestored(uint64)                                                {}
-func (discardLog) OutdatedRecordsRead(string, history.Revision, history.Revision, int) {}
-func (discardLog) StoreCallFailed(follow.FailureKind, *failure.Failure, time.Duration) {}
-func (discardLog) StoreAnswered(time.Duration)                                         {}
-func (discardLog) CopyStale(clock.Ms)                                                  {}
-func (discardLog) MachineSuspended(clock.Ms)                                           {}
-func (discardLog) CopyFresh()                                                          {}
-func (discardLog) MembersChanged(int)                                                  {}
-func (discardLog) LearnedFromPeer(string, int, history.Revision)                       {}
-func (discardLog) InternalError(string)                                                {}
-func (discardLog) PeerSilent(string)                                                   {}
-func (discardLog) PeerMalformed(string, error)                                         {}
+func (discardLog) RetrialClaimed(quarantine.Fingerprint, string)                             {}
+func (discardLog) QuarantineNotWritten(quarantine.Fingerprint, *failure.Failure)             {}
+func (discardLog) ConfigurationApplied(*routing.Table, history.Revision, gateway.CopyStatus) {}
+func (discardLog) ItemRejected(*gateway.Item)                                                {}
+func (discardLog) BackEndUpdated(replica.Entry, history.Revision)                            {}
+func (discardLog) BackEndVanished(string, bool)                                              {}
+func (discardLog) ZoneEvacuated(string, history.Revision)                                    {}
+func (discardLog) ZoneEvacuationEnded(string)                                                {}
+func (discardLog) StoreListed(int, history.Revision)                                         {}
+func (discardLog) StoreRegressed(history.Revision, history.Revision)                         {}
+func (discardLog) StoreRestored(uint64)                                                      {}
+func (discardLog) OutdatedRecordsRead(string, history.Revision, history.Revision, int)       {}
+func (discardLog) StoreCallFailed(follow.FailureKind, *failure.Failure, time.Duration)       {}
+func (discardLog) StoreAnswered(time.Duration)                                               {}
+func (discardLog) CopyStale(clock.Ms)                                                        {}
+func (discardLog) MachineSuspended(clock.Ms)                                                 {}
+func (discardLog) CopyFresh()                                                                {}
+func (discardLog) MembersChanged(int)                                                        {}
+func (discardLog) LearnedFromPeer(string, int, history.Revision)                             {}
+func (discardLog) InternalError(string)                                                      {}
+func (discardLog) PeerSilent(string)                                                         {}
+func (discardLog) PeerMalformed(string, error)                                               {}
 
 const shards = 4
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -63,10 +63,10 @@
 	}
 	route := table.Match(call.Host, call.Path)
 	if route == nil {
-		return Result{Answer: failWithoutRoute(), Version: table.Version()}
+		return Result{Answer: failWithoutRoute(), Version: table.Version(), Copy: g.copyStatus()}
 	}
 	if refusal := g.authenticate(call, table, route); refusal != nil {
-		return Result{Answer: *refusal, Version: table.Version(), Route: route}
+		return Result{Answer: *refusal, Version: table.Version(), Route: route, Copy: g.copyStatus()}
 	}
 	if call.Tenant != nil {
 		route = route.WithinRegions(call.Tenant.Regions)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -29,6 +29,8 @@
 	// CopyAge is the time since the copy of the store was last confirmed to be complete, by the store itself or by another
 	// node. It is negative if it never was.
 	CopyAge clock.Ms
+	// CopyBehind is for how long the node has known that its copy lacks changes, or 0 if it knows of none.
+	CopyBehind clock.Ms
 	// Nodes is the number of known nodes, or 0 while this node has not joined the others.
 	Nodes int
 	// BackEnds is the number of back ends in each state.
@@ -54,7 +56,7 @@
 	now := g.now()
 	status := Status{
 		StoreRevision: g.storeCopy.records.Revision(), StoreContactAge: g.storeCopy.reader.ContactAge(now),
-		CopyAge: g.storeCopy.age(now), Nodes: g.fleet.nodeCount, BackEnds: map[string]int{},
+		CopyAge: g.storeCopy.age(now), CopyBehind: g.storeCopy.records.Copy(now).Behind, Nodes: g.fleet.nodeCount, BackEnds: map[string]int{},
 		Quotas:      g.quotas.holder.State(clock.FromDuration(now)),
 		Quarantined: g.quarantine.QuarantinedCount(clock.FromDuration(now)), EvacuatedZones: g.replicas.EvacuatedZones(),
 		BackEndsAtFault: g.replicas.AtFault(now),
--- a/internal/gateway/store_changes.go
+++ b/internal/gateway/store_changes.go
@@ -163,7 +163,7 @@
 	if g.firstListing.read.Load() {
 		g.markListed()
 	}
-	g.log.ConfigurationApplied(table, item.Revision)
+	g.log.ConfigurationApplied(table, item.Revision, g.storeCopy.status(g.now()))
 }
 
 // compileTable builds the routing table of a configuration. It fails if the configuration names a region that this node
--- a/internal/gateway/store_copy.go
+++ b/internal/gateway/store_copy.go
@@ -61,6 +61,26 @@
 	return neverConfirmed
 }
 
+// CopyStatus describes the node's copy of the store at one moment.
+type CopyStatus struct {
+	spread.Copy
+	// Age is the time since the copy was last known to be complete, or neverConfirmed.
+	Age clock.Ms
+}
+
+// status describes the copy.
+func (c *storeCopy) status(now time.Duration) CopyStatus {
+	return CopyStatus{Copy: c.records.Copy(now), Age: c.age(now)}
+}
+
+// copyStatus describes the copy of the store now.
+func (g *Gateway) copyStatus() *CopyStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	status := g.storeCopy.status(g.now())
+	return &status
+}
+
 // stale reports whether the copy was not confirmed within StaleAfter, or never.
 func (c *storeCopy) stale(now time.Duration) bool {
 	return !c.records.ConfirmedWithin(now, c.propagation.StaleAfter)
--- a/internal/spread/confirmation.go
+++ b/internal/spread/confirmation.go
@@ -8,16 +8,52 @@
 	"stiletrail/internal/message"
 )
 
+// Store is the Copy.ConfirmedBy of a copy that the store itself has confirmed.
+const Store = "store"
+
+// Copy describes what this node's copy of the store is known to contain.
+type Copy struct {
+	// Revision is the revision up to which the node knows all changes.
+	Revision history.Revision
+	// ConfirmedBy is who last confirmed that the copy was complete: Store, or the address of a peer. It is empty if
+	// nobody has.
+	ConfirmedBy string
+	// Behind is for how long the node has known of a later revision, or 0 if it knows of none.
+	Behind clock.Ms
+}
+
+// Copy returns a description of the copy.
+func (c *Core) Copy(now time.Duration) Copy {
+	described := Copy{Revision: c.revision, ConfirmedBy: c.confirmed.by}
+	if c.latestHeard.After(c.revision) {
+		described.Behind = clock.FromDuration(now - c.behindSince)
+	}
+	return described
+}
+
+// hear records that a peer knows all changes up to a revision.
+func (c *Core) hear(now time.Duration, revision history.Revision) {
+	if !revision.After(c.revision) {
+		return
+	}
+	if !c.latestHeard.After(c.revision) {
+		c.behindSince = now
+	}
+	c.latestHeard = history.Latest(c.latestHeard, revision)
+}
+
 // confirmation is a moment at which the store held no change beyond a revision.
 type confirmation struct {
 	known    bool
 	revision history.Revision
 	at       clock.Ms
+	// by is who has confirmed it: Store, or the address of a peer.
+	by string
 }
 
 // Confirm records that the store itself has just returned all changes up to the node's revision.
 func (c *Core) Confirm(now time.Duration) {
-	c.confirm(now, confirmation{known: true, revision: c.revision, at: clock.FromDuration(now)})
+	c.confirm(now, confirmation{known: true, revision: c.revision, at: clock.FromDuration(now), by: Store})
 }
 
 func (c *Core) confirm(now time.Duration, latest confirmation) {
@@ -55,7 +91,7 @@
 // receiveConfirmation records the peer's report of when the store held no change beyond a revision. It also
 // confirms this node's copy once that has reached the revision, since the copy then contains everything that the
 // peer's contained.
-func (c *Core) receiveConfirmation(now time.Duration, revision history.Revision, m message.Confirmation) {
+func (c *Core) receiveConfirmation(now time.Duration, from string, revision history.Revision, m message.Confirmation) {
 	if !m.Confirmed || revision.Unknown() {
 		return
 	}
@@ -64,7 +100,7 @@
 		c.peerConfirmationReceived, c.latestPeerConfirmation = true, at
 	}
 	if !c.peerConfirmed.known || at > c.peerConfirmed.at {
-		c.peerConfirmed = confirmation{known: true, revision: revision, at: at}
+		c.peerConfirmed = confirmation{known: true, revision: revision, at: at, by: from}
 	}
 	c.adoptPeerConfirmation(now)
 }
--- a/internal/spread/replication.go
+++ b/internal/spread/replication.go
@@ -90,7 +90,8 @@
 }
 
 func (c *Core) receiveDigest(now time.Duration, from string, m *message.StoreDigest, storeReachable bool) Received {
-	c.receiveConfirmation(now, m.Revision, m.Confirmation)
+	c.hear(now, m.Revision)
+	c.receiveConfirmation(now, from, m.Revision, m.Confirmation)
 	switch order := m.Revision.Compare(c.revision); {
 	case order < 0:
 		return Received{Sends: []OutgoingMessage{{from, c.digest(now)}}}
@@ -125,7 +126,8 @@
 
 func (c *Core) receiveRecords(now time.Duration, from string, m *message.StoreRecords) Received {
 	received := Received{Retained: m.Retained}
-	c.receiveConfirmation(now, m.Revision, m.Confirmation)
+	c.hear(now, m.Revision)
+	c.receiveConfirmation(now, from, m.Revision, m.Confirmation)
 	c.nextRequestAt = 0
 	listed := make(map[string]bool, len(m.Records))
 	for _, record := range m.Records {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -62,6 +62,10 @@
 	aheadPeer     string
 	aheadRevision history.Revision
 	aheadSince    time.Duration
+	// latestHeard is the latest revision that a peer has reported. If it is later than the node's, the node has known
+	// since behindSince that it lacks changes.
+	latestHeard history.Revision
+	behindSince time.Duration
 	// confirmed is when the copy was last known to be complete. peerConfirmed is the confirmation of a peer whose
 	// revision is later than this node's; it is adopted once this node reaches that revision.
 	confirmed     confirmation
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -239,6 +239,7 @@
 	gauge("stiletrail_configuration_version", func() float64 { return float64(source.Gateway.Version()) })
 	gauge("stiletrail_store_contact_age_seconds", func() float64 { return source.Gateway.Status().StoreContactAge.Seconds() })
 	gauge("stiletrail_copy_age_seconds", func() float64 { return source.Gateway.Status().CopyAge.Duration().Seconds() })
+	gauge("stiletrail_copy_behind_seconds", func() float64 { return source.Gateway.Status().CopyBehind.Duration().Seconds() })
 	gauge("stiletrail_store_revision", func() float64 { return float64(source.Gateway.Status().StoreRevision.Number) })
 	gauge("stiletrail_store_era", func() float64 { return float64(source.Gateway.Status().StoreRevision.Era) })
 	gauge("stiletrail_nodes", func() float64 { return float64(source.Gateway.Status().Nodes) })
