--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -92,6 +92,13 @@
 	return item
 }
 
+// currentRevision is the number of the latest revision.
+func (s *fakeStore) currentRevision() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.revision
+}
+
 // callCount is the number of calls so far.
 func (s *fakeStore) callCount() int {
 	s.mutex.Lock()
--- a/internal/gateway/late_watch_test.go
+++ b/internal/gateway/late_watch_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"stiletrail/internal/gateway"
-	"stiletrail/internal/spread"
 )
 
 // TestLateWatchIsNotAnnounced guards against copies of the store that miss changes for good: a watcher announced an
@@ -49,7 +48,7 @@
 		addresses = append(addresses, address(i))
 	}
 	slices.Sort(addresses)
-	watchers := spread.Watchers(addresses, 3)
+	watchers := watchersOf(nodes)
 	for i, other := range addresses {
 		if i%len(watchers) == 0 && !slices.Contains(watchers, other) {
 			receivers = append(receivers, other)
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -30,6 +30,8 @@
 	droppedUntil time.Time
 	// partitioned, if set, reports whether messages from one address to another are dropped.
 	partitioned func(from, to string) bool
+	// lateness, if set, returns how much longer than delay a message from one address to another is under way.
+	lateness func(from, to string) time.Duration
 }
 
 func newNetwork() *network {
@@ -70,6 +72,24 @@
 	n.partitioned = partitioned
 }
 
+// delayMessages makes messages arrive later than usual, by the time that the function returns. Nil ends that for messages
+// that are sent from now on.
+func (n *network) delayMessages(lateness func(from, to string) time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.lateness = lateness
+}
+
+// travelTime returns how long a message that is sent now is under way.
+func (n *network) travelTime(from, to string) time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.lateness == nil {
+		return n.delay
+	}
+	return n.delay + n.lateness(from, to)
+}
+
 // attach lets a gateway receive what is sent to an address from now on.
 func (n *network) attach(address string, g *gateway.Gateway) {
 	n.mutex.Lock()
@@ -91,8 +111,9 @@
 
 // Send implements gateway.PeerTransport.
 func (e peerTransport) Send(to string, m message.Message) {
+	travel := e.network.travelTime(e.address, to)
 	go func() {
-		time.Sleep(e.network.delay)
+		time.Sleep(travel)
 		if receiver := e.network.at(to); receiver != nil && e.network.delivers(e.address) && e.network.connected(e.address, to) {
 			receiver.Message(e.address, m)
 		}
@@ -113,6 +134,8 @@
 	regions map[string]string
 	// named gives each node a name of its own, by which it takes its turns.
 	named bool
+	// seedOf returns the seed of a process of a node that starts now; nil gives all processes of a node the same one.
+	seedOf func(number int) uint64
 }
 
 // nodeStore is the store as one node reaches it.
@@ -124,6 +147,18 @@
 	stalls atomic.Int64
 	// watchDelay is how long the answer of a watch that brings changes takes to reach this node, in nanoseconds.
 	watchDelay atomic.Int64
+	// answerDelay is how long any answer to a listing or a watch takes to reach this node, in nanoseconds.
+	answerDelay atomic.Int64
+}
+
+// awaitAnswer waits until an answer that the store has just given reaches this node.
+func (s *nodeStore) awaitAnswer(ctx context.Context) error {
+	select {
+	case <-time.After(time.Duration(s.answerDelay.Load())):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // List implements gateway.Store.
@@ -131,7 +166,11 @@
 	if s.disconnected.Load() {
 		return gateway.Page{}, errUnavailable
 	}
-	return s.fakeStore.List(ctx, known, after)
+	page, err := s.fakeStore.List(ctx, known, after)
+	if lost := s.awaitAnswer(ctx); lost != nil {
+		return gateway.Page{}, lost
+	}
+	return page, err
 }
 
 // Write implements gateway.Store.
@@ -168,6 +207,9 @@
 			return nil, history.Revision{}, ctx.Err()
 		}
 	}
+	if lost := s.awaitAnswer(ctx); lost != nil {
+		return nil, history.Revision{}, lost
+	}
 	return records, at, err
 }
 
@@ -187,7 +229,11 @@
 	if c.regions != nil {
 		loaded.Regions = c.regions
 	}
-	g := gateway.New(withSeed(loaded, uint64(number)+7), c.backEnds, c.stores[number], discardLog{})
+	seed := uint64(number) + 7
+	if c.seedOf != nil {
+		seed = c.seedOf(number)
+	}
+	g := gateway.New(withSeed(loaded, seed), c.backEnds, c.stores[number], discardLog{})
 	self := membership.Member{Address: address(number), Zone: loaded.Zone, Region: loaded.Regions[loaded.Zone], Generation: uint64(number) + 1, Incarnation: uint64(time.Now().UnixMilli())}
 	g.Join(self, []string{address(0), address(1)}, peerTransport{c.network, address(number)})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -224,6 +270,8 @@
 		for _, cancel := range c.contexts {
 			cancel()
 		}
+		c.network.delayMessages(nil)
+		c.network.dropAllFor(time.Minute)
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 	})
