A copy of the store is confirmed as of when the store answered, not as of the arrival of the answer

What callers saw: where a route was new, 404 for longer than apply_within (docs/incidents/late-news-counts-as-fresh.md).

Cause: Gateway.storeConfirmed took the arrival of a listing or of a watch's answer for the moment at which the copy was complete. An answer that lay in a link, or that a slowed node read late, confirmed the copy as of a time at which the store had gone on, and watchers told their receivers so.

Change: follow.Call.AnsweredAfter gives the latest moment before which the store cannot have answered: the start of the call, or the end of the wait of a watch that brought no changes. storeConfirmed takes it. A pause that collects changes ends when the copy becomes stale, since an answer with changes confirms as of the start of its call now. A confirmation older than the one that is known is dropped; before, a late one of the store could only be later.

Before: TestLateAnswersOfStore "the copy of node 0 is at revision 6 and counts as complete as of 14 ms ago, when the store had been at revision 7 for 45 ms".

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -59,6 +59,16 @@
 	Timeout time.Duration
 }
 
+// AnsweredAfter returns the latest moment before which the store cannot have given the answer to a call that was made at
+// startedAt and answered at answeredAt. The answer may have been under way for any part of that time, unless it ended a
+// watch without changes: the store then waited for as long as it was told to.
+func (c Call) AnsweredAfter(startedAt, answeredAt time.Duration, changes int) time.Duration {
+	if waited := c.Duration.Truncate(time.Millisecond); c.Kind == Watch && changes == 0 && answeredAt-startedAt >= waited {
+		return startedAt + waited
+	}
+	return startedAt
+}
+
 const (
 	// maximumFailures caps the count of consecutive failures, from which the timeout of the next call is computed.
 	maximumFailures = 10
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -331,3 +331,26 @@
 	}
 	return lengths
 }
+
+// TestAnsweredAfter guards against copies that count as complete as of a time at which they were not: an answer was given no
+// earlier than its call was made, and later only if it ended a watch without changes after its whole wait.
+func TestAnsweredAfter(t *testing.T) {
+	const start, wait = 10 * time.Second, 1800 * time.Millisecond
+	watch := follow.Call{Kind: follow.Watch, Duration: wait}
+	for name, test := range map[string]struct {
+		call    follow.Call
+		took    time.Duration
+		changes int
+		want    time.Duration
+	}{
+		"a listing":                      {follow.Call{Kind: follow.List}, time.Second, 0, start},
+		"a watch with changes":           {watch, 2 * time.Second, 1, start},
+		"a watch without changes":        {watch, 1900 * time.Millisecond, 0, start + wait},
+		"a late answer to a watch":       {watch, 3 * time.Second, 0, start + wait},
+		"a watch that the store has cut": {watch, time.Second, 0, start},
+	} {
+		if got := test.call.AnsweredAfter(start, start+test.took, test.changes); got != test.want {
+			t.Errorf("%s: answered after %v, want %v", name, got, test.want)
+		}
+	}
+}
--- a/internal/gateway/replaced_version_test.go
+++ b/internal/gateway/replaced_version_test.go
@@ -21,7 +21,7 @@
 		return table
 	}
 	older, newer := compile(1), compile(2, tenant.NewKey("new"))
-	g.storeCopy.records.Confirm(g.now())
+	g.storeCopy.records.Confirm(g.now(), g.now())
 	codeBy := func(table *routing.Table) failure.Code {
 		return g.authenticate(&Call{Key: tenant.NewKey("new")}, table, &routing.Route{}).Failure.Code
 	}
--- a/internal/gateway/store_copy.go
+++ b/internal/gateway/store_copy.go
@@ -22,8 +22,10 @@
 	records *spread.Core
 	// reader decides which call to the store is next.
 	reader *follow.Core
-	// listedKeys are the keys that the listing in progress has returned so far.
-	listedKeys map[string]bool
+	// listedKeys are the keys that the listing in progress has returned so far. listingStartedAt is when its first page
+	// was asked for.
+	listedKeys       map[string]bool
+	listingStartedAt time.Duration
 	// restoredEra is the latest era of a restored store that this node has handled.
 	restoredEra uint64
 	// loggedStale is set if the log was last told that the copy is stale.
--- a/internal/gateway/store_reading.go
+++ b/internal/gateway/store_reading.go
@@ -44,8 +44,9 @@
 }
 
 // coalesce waits while changes collect in the store, so that one call returns them all. It ends early if requests lack
-// back ends.
+// back ends, or if the copy becomes stale.
 func (g *Gateway) coalesce(ctx context.Context, length time.Duration) {
+	length = min(length, max(g.copyStaleIn().Duration(), minimumCoalesceTime))
 	pause(ctx, min(length, minimumCoalesceTime))
 	timer := time.NewTimer(length - minimumCoalesceTime)
 	defer timer.Stop()
@@ -69,6 +70,7 @@
 func (g *Gateway) list(ctx context.Context, call follow.Call) {
 	bounded, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
+	startedAt := g.now()
 	page, err := g.store.List(bounded, call.Revision, call.AfterKey)
 	if err != nil {
 		g.callFailed(ctx, err)
@@ -81,6 +83,7 @@
 	if call.AfterKey == "" {
 		c.logRegression(call.Revision, page.Revision)
 		clear(c.listedKeys)
+		c.listingStartedAt = startedAt
 	}
 	c.logOutdated(page.Records)
 	for _, record := range page.Records {
@@ -109,7 +112,7 @@
 	clear(c.listedKeys)
 	g.markListed()
 	g.sendSpread(sends)
-	g.storeConfirmed(now, revision, revision, nil)
+	g.storeConfirmed(now, storeAnswer{asOf: c.listingStartedAt, since: revision, until: revision})
 }
 
 // watch waits for changes in the store and applies them.
@@ -117,6 +120,7 @@
 	bounded, cancel := context.WithTimeout(ctx, call.Duration+call.Timeout)
 	defer cancel()
 	stop := g.cancelWhenStale(cancel)
+	startedAt := g.now()
 	records, at, err := g.store.Watch(bounded, call.Revision, call.Duration)
 	if ended := stop(); ended && err != nil && ctx.Err() == nil {
 		g.logSilentWatch(err)
@@ -138,7 +142,9 @@
 	c.logOutdated(records)
 	g.applyChanges(now, records, c.doubtUntil(now, c.age(now), countDeleted(records), g.replicas.Len()))
 	g.sendSpread(c.records.Advance(now, c.reader.Revision()))
-	g.storeConfirmed(now, call.Revision, at, records)
+	g.storeConfirmed(now, storeAnswer{
+		asOf: call.AnsweredAfter(startedAt, now, len(records)), since: call.Revision, until: at, records: records,
+	})
 }
 
 // cancelWhenStale cancels a watch when the copy becomes stale. The watch's connection may be dead by then, and the store is
--- a/internal/gateway/watch_assignment.go
+++ b/internal/gateway/watch_assignment.go
@@ -96,23 +96,31 @@
 	return g.storeCopy.reader.StoreReachable(now) || g.servedByWatchers(now)
 }
 
-// storeConfirmed records that the store has returned all changes after the revision since, up to the revision until, and
-// sends them to the group. The other watchers are told too, since their own watches may have gone silent.
+// storeAnswer is an answer of the store: all changes after the revision since, up to the revision until.
+type storeAnswer struct {
+	// asOf is a moment before which the store did not give the answer.
+	asOf         time.Duration
+	since, until history.Revision
+	records      []message.StoreRecord
+}
+
+// storeConfirmed records that the copy has all changes of an answer of the store, and sends them to the group. The other
+// watchers are told too, since their own watches may have gone silent.
 //
 // Peers may have brought later changes while the call was under way. The answer then confirms nothing, and is not sent on:
 // it lacks those changes, and whoever is told the revision of this copy must get all changes up to it.
-func (g *Gateway) storeConfirmed(now time.Duration, since, until history.Revision, records []message.StoreRecord) {
+func (g *Gateway) storeConfirmed(now time.Duration, answer storeAnswer) {
 	c, watch := g.storeCopy, &g.fleet.watch
-	if until.Before(c.records.Revision()) {
+	if answer.until.Before(c.records.Revision()) {
 		return
 	}
-	c.records.Confirm(now)
+	c.records.Confirm(now, answer.asOf)
 	c.logStaleness(now)
 	if !watch.watches || !g.settings.Load().Fleet.PeerCopies {
 		return
 	}
-	direct, passedOn := splitReceivers(watch.receivers, records)
-	g.sendSpread(c.records.Announce(now, direct, since, records))
-	g.sendSpread(c.records.Announce(now, passedOn, since, nil))
-	g.sendSpread(c.records.Announce(now, watch.announceTo, since, nil))
+	direct, passedOn := splitReceivers(watch.receivers, answer.records)
+	g.sendSpread(c.records.Announce(now, direct, answer.since, answer.records))
+	g.sendSpread(c.records.Announce(now, passedOn, answer.since, nil))
+	g.sendSpread(c.records.Announce(now, watch.announceTo, answer.since, nil))
 }
--- a/internal/mutation/era_test.go
+++ b/internal/mutation/era_test.go
@@ -36,7 +36,7 @@
 	},
 	{
 		"a late answer of the store is announced as all changes up to the copy's revision", "internal/gateway/watch_assignment.go",
-		"	if until.Before(c.records.Revision()) {\n		return\n	}\n", "",
+		"	if answer.until.Before(c.records.Revision()) {\n		return\n	}\n", "",
 		"./internal/gateway", "TestLateWatchIsNotAnnounced",
 	},
 	{
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -496,6 +496,16 @@
 		"if !c.peerConfirmed.known || c.peerConfirmed.revision.After(c.revision) {", "if !c.peerConfirmed.known {",
 		"./internal/spread", "TestConfirmation",
 	},
+	{
+		"an answer of the store confirms a copy as of its arrival", "internal/spread/confirmation.go",
+		"at: clock.FromDuration(asOf), by: Store", "at: clock.FromDuration(now), by: Store",
+		"./internal/gateway", "TestLateAnswersOfStore",
+	},
+	{
+		"a watch that ended early without changes confirms a copy as of the end of its wait", "internal/follow/follow.go",
+		" && answeredAt-startedAt >= waited", "",
+		"./internal/follow", "TestAnsweredAfter",
+	},
 	{
 		"changes after a gap count as complete", "internal/spread/replication.go",
 		"return m.Complete || !m.Since.After(c.revision) && m.Since.Era == m.Revision.Era", "return true",
--- a/internal/spread/confirmation.go
+++ b/internal/spread/confirmation.go
@@ -51,12 +51,17 @@
 	by string
 }
 
-// Confirm records that the store itself has just returned all changes up to the node's revision.
-func (c *Core) Confirm(now time.Duration) {
-	c.confirm(now, confirmation{known: true, revision: c.revision, at: clock.FromDuration(now), by: Store})
+// Confirm records that the store has returned all changes up to the node's revision in an answer that it gave no earlier
+// than the moment asOf.
+func (c *Core) Confirm(now, asOf time.Duration) {
+	c.confirm(now, confirmation{known: true, revision: c.revision, at: clock.FromDuration(asOf), by: Store})
 }
 
+// confirm records a confirmation of a revision that the copy has reached, unless a later one is known.
 func (c *Core) confirm(now time.Duration, latest confirmation) {
+	if c.confirmed.known && latest.at <= c.confirmed.at {
+		return
+	}
 	if !c.confirmed.known || latest.at-c.confirmed.at >= c.settings.EntryLifetime {
 		c.reconfirmedAt = clock.FromDuration(now)
 	}
@@ -111,9 +116,7 @@
 	if !c.peerConfirmed.known || c.peerConfirmed.revision.After(c.revision) {
 		return
 	}
-	if !c.confirmed.known || c.peerConfirmed.at > c.confirmed.at {
-		c.confirm(now, c.peerConfirmed)
-	}
+	c.confirm(now, c.peerConfirmed)
 	c.peerConfirmed = confirmation{}
 }
 
--- a/internal/spread/confirmation_test.go
+++ b/internal/spread/confirmation_test.go
@@ -32,7 +32,7 @@
 	if core.ConfirmedWithin(4*time.Second, 3000) {
 		t.Error("the copy is confirmed by a peer whose own copy is not")
 	}
-	if core.Confirm(5 * time.Second); !core.ConfirmedWithin(5*time.Second, 0) {
+	if core.Confirm(5*time.Second, 5*time.Second); !core.ConfirmedWithin(5*time.Second, 0) {
 		t.Error("the copy is not confirmed by the store's own answer")
 	}
 }
@@ -48,7 +48,7 @@
 			t.Errorf("deletions are reliable: %v after %d ms, want the opposite", got, ms)
 		}
 	}
-	confirm := func(ms int) { core.Confirm(time.Duration(ms) * time.Millisecond) }
+	confirm := func(ms int) { core.Confirm(time.Duration(ms)*time.Millisecond, time.Duration(ms)*time.Millisecond) }
 	confirmByPeer := func(ms int) {
 		m := &message.StoreDigest{Revision: at(5), Confirmation: message.Confirmation{Confirmed: true, AgeMs: 100}}
 		core.Receive(time.Duration(ms)*time.Millisecond, "peer", m, false)
--- a/internal/spread/era_test.go
+++ b/internal/spread/era_test.go
@@ -86,19 +86,19 @@
 func TestDeletionsUnreliableAfterRestore(t *testing.T) {
 	core := spread.New(spread.Settings{EntryLifetime: 2400, RewriteWindow: 2500, Interval: time.Second}, func(int) []string { return nil })
 	core.Advance(0, at(68))
-	core.Confirm(0)
+	core.Confirm(0, 0)
 	for now := time.Duration(0); now < 5*time.Second; now += 500 * time.Millisecond {
-		core.Confirm(now)
+		core.Confirm(now, now)
 	}
 	if !core.DeletionsReliable(5*time.Second) || core.RewriteRemaining(5*time.Second) != 0 {
 		t.Fatal("deletions are not reliable before the restore, or records are reported as not yet rewritten")
 	}
 	core.Advance(5*time.Second, history.At(2, 65))
-	core.Confirm(5 * time.Second)
+	core.Confirm(5*time.Second, 5*time.Second)
 	if core.DeletionsReliable(5*time.Second) || core.RewriteRemaining(6*time.Second) != 1500 {
 		t.Errorf("deletions are reliable right after the restore, or the remaining rewrite time is %d ms, want 1500 ms", core.RewriteRemaining(6*time.Second))
 	}
-	core.Confirm(7 * time.Second)
+	core.Confirm(7*time.Second, 7*time.Second)
 	if !core.DeletionsReliable(7500 * time.Millisecond) {
 		t.Error("deletions are not reliable after RewriteWindow")
 	}
