What peers report of their copies is dated by their clocks, not by the arrival of the report

Cause: a peer tells when its copy of the store was complete as an age, and the receiver counted back from when it read the message. The time on the way counted as none, once a hop. Watchers that were slow, or whose messages waited, confirmed the older revision of their receivers over and over. Those never turned stale and never asked the store.

Change: a confirmation carries the reading of its sender's clock too. Package peerclock knows a moment on the own clock before which a peer's clock cannot have shown a reading: it asks the peer once a minute, and the answer was given after the request was sent. So a report is too old by a round trip at most, and never too young, however late it comes. A report of a peer whose clock is not known yet waits for the answer.

Frames: the reading is a last field that is left out if unknown, and two kinds are new. A node says by the value of its acknowledgements which messages it reads (until now 1, without a meaning), so one of an earlier release gets the frames that it knows, with ages, and tells ages. To a peer that has acknowledged nothing yet nothing is confirmed. TestAgeIncludesQueueTime says that its peer is of an earlier release now; it checks the same age.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"stiletrail/internal/admit"
 	"stiletrail/internal/clock"
 	"stiletrail/internal/limit"
+	"stiletrail/internal/peerclock"
 	"stiletrail/internal/quarantine"
 	"stiletrail/internal/replica"
 	"stiletrail/internal/routing"
@@ -83,6 +84,7 @@
 	quarantineWrites quarantineWrites
 	evidence         evidenceSchedule
 	storeCopy        *storeCopy
+	clocks           *peerclock.Core
 	reports          healthReports
 	shared           sharedHealth
 	quotas           quotas
@@ -108,12 +110,13 @@
 		trials:           map[quarantine.Fingerprint]int{},
 		quarantineWrites: newQuarantineWrites(random),
 		evidence:         evidenceSchedule{random: random},
+		clocks:           peerclock.New(rand.Uint64()),
 		reports:          newHealthReports(),
 		shared:           newSharedHealth(),
 	}
 	g.quotas = newQuotas(g.nowMs(), localProcess)
 	g.settings.Store(&settings)
-	g.storeCopy = newStoreCopy(&settings, log, g.pickSpreadPeers, random.Float64)
+	g.storeCopy = newStoreCopy(&settings, log, g.pickSpreadPeers, g.clocks, random.Float64)
 	return g
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -71,6 +71,7 @@
 	g.storeCopy.logStaleness(now)
 	g.syncEvidence(now)
 	g.reports.core.Forget(clock.FromDuration(now))
+	g.clocks.Forget(clock.FromDuration(now))
 	g.updateStarting(now)
 	g.updateMembers(now)
 }
@@ -110,6 +111,10 @@
 		g.sendMembership(sends)
 	case *message.StoreDigest, *message.StoreRequest, *message.StoreRecords:
 		g.receiveSpread(now, from, m)
+	case *message.ClockRequest:
+		g.fleet.transport.Send(from, g.clocks.Answer(clock.FromDuration(now), m))
+	case *message.ClockAnswer:
+		g.receiveClock(now, from, m)
 	case *message.Evidence:
 		g.receiveEvidence(now, m)
 	case *message.BackEndReports:
@@ -121,6 +126,12 @@
 	}
 }
 
+// receiveClock handles a peer's reading of its clock, by which what the peer reports can be dated.
+func (g *Gateway) receiveClock(now time.Duration, from string, m *message.ClockAnswer) {
+	g.clocks.Receive(clock.FromDuration(now), from, m)
+	g.storeCopy.records.ClockMeasured(now, from)
+}
+
 // Undelivered implements transport.Handler. Nothing is resent: what is still due is sent again by the periodic work.
 func (g *Gateway) Undelivered(string, message.Message, bool) {}
 
--- a/internal/gateway/store_copy.go
+++ b/internal/gateway/store_copy.go
@@ -7,6 +7,7 @@
 	"stiletrail/internal/follow"
 	"stiletrail/internal/history"
 	"stiletrail/internal/message"
+	"stiletrail/internal/peerclock"
 	"stiletrail/internal/spread"
 )
 
@@ -37,11 +38,11 @@
 	pendingEvacuationEnds map[string]time.Duration
 }
 
-// newStoreCopy returns an empty copy. The function peers picks nodes to be told of changes, and random returns random
-// numbers from 0 to 1.
-func newStoreCopy(settings *Settings, log DecisionLog, peers spread.PeerPicker, random func() float64) *storeCopy {
+// newStoreCopy returns an empty copy. The function peers picks nodes to be told of changes, clocks dates what they report,
+// and random returns random numbers from 0 to 1.
+func newStoreCopy(settings *Settings, log DecisionLog, peers spread.PeerPicker, clocks *peerclock.Core, random func() float64) *storeCopy {
 	c := &storeCopy{
-		log: log, records: spread.New(settings.Spread, peers), reader: follow.New(settings.Follow, random),
+		log: log, records: spread.New(settings.Spread, peers, clocks), reader: follow.New(settings.Follow, random),
 		listedKeys: map[string]bool{}, pendingEvacuationEnds: map[string]time.Duration{},
 	}
 	c.configure(settings)
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// optionalUint64 reads or writes the last field of a message, which nodes of an earlier release do not know. It is left
+// out if it is 0.
+func (c *codec) optionalUint64(value *uint64) {
+	if c.reading && len(c.buffer) == 0 || !c.reading && *value == 0 {
+		return
+	}
+	c.uint64(value)
+	if *value == 0 {
+		c.failed = true
+	}
+}
+
 // varint reads or writes a number that is usually small, in the varint encoding of encoding/binary with seven bits
 // per byte. An encoding longer than necessary is malformed.
 func (c *codec) varint(value *uint64) {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -42,6 +42,8 @@
 	KindBackEndVerdicts
 	KindQuotaReport
 	KindQuotaGrant
+	KindClockRequest
+	KindClockAnswer
 )
 
 // Message is implemented by the message types of this package.
@@ -81,6 +83,8 @@
 	KindBackEndVerdicts:  func() Message { return new(BackEndVerdicts) },
 	KindQuotaReport:      func() Message { return new(QuotaReport) },
 	KindQuotaGrant:       func() Message { return new(QuotaGrant) },
+	KindClockRequest:     func() Message { return new(ClockRequest) },
+	KindClockAnswer:      func() Message { return new(ClockAnswer) },
 }
 
 func newMessage(kind Kind) Message {
--- a/internal/message/store.go
+++ b/internal/message/store.go
@@ -19,13 +19,17 @@
 type Confirmation struct {
 	// Confirmed is false if the sender has no such confirmation.
 	Confirmed bool
-	// AgeMs is the age of the confirmation in milliseconds.
+	// AgeMs is the age of the confirmation in milliseconds when the message is sent.
 	AgeMs uint32
+	// At is the same moment as a reading of the sender's clock, which stays right however long the message is under way.
+	// It is 0 if the sender is of a release without such readings.
+	At uint64
 }
 
 func (m *Confirmation) fields(c *codec) {
 	c.bool(&m.Confirmed)
 	c.uint32(&m.AgeMs)
+	c.optionalUint64(&m.At)
 }
 
 // Aged is a message that reports the age of its contents. The transport adds the time for which the message waits
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -506,6 +506,26 @@
 		" && answeredAt-startedAt >= waited", "",
 		"./internal/follow", "TestAnsweredAfter",
 	},
+	{
+		"a report of a peer confirms a copy as of its arrival", "internal/spread/confirmation.go",
+		"	if m.At == 0 {\n", "	if true {\n",
+		"./internal/gateway", "TestLateMessagesOfWatchers",
+	},
+	{
+		"the clock of a peer is taken to have shown a reading when the answer with it arrived", "internal/peerclock/peerclock.go",
+		"p.measured, p.measuredAt, p.reading = true, requestedAt, m.At", "p.measured, p.measuredAt, p.reading = true, now, m.At",
+		"./internal/peerclock", "TestEarliest",
+	},
+	{
+		"the readings of a new process at an address are placed by the clock of the one before", "internal/peerclock/peerclock.go",
+		"if moment > now || now-moment > maximumAge {", "if false {",
+		"./internal/peerclock", "TestClockOfAnotherProcess",
+	},
+	{
+		"a node of an earlier release is sent fields that it does not know", "internal/message/version.go",
+		"	case version < VersionClocks:\n		m.At = 0\n", "",
+		"./internal/transport", "TestConfirmationOfEarlierRelease",
+	},
 	{
 		"changes after a gap count as complete", "internal/spread/replication.go",
 		"return m.Complete || !m.Since.After(c.revision) && m.Since.Era == m.Revision.Era", "return true",
--- a/internal/spread/replication.go
+++ b/internal/spread/replication.go
@@ -38,6 +38,7 @@
 			c.nextDigestAt = now + nonWatcherIntervalFactor*c.settings.Interval
 		}
 		c.discardTombstones(now)
+		c.forgetUndated(now)
 		sends = c.digests(now, 1)
 	}
 	return append(sends, c.requestRecords(now, storeReachable)...)
@@ -91,18 +92,20 @@
 
 func (c *Core) receiveDigest(now time.Duration, from string, m *message.StoreDigest, storeReachable bool) Received {
 	c.hear(now, m.Revision)
-	c.receiveConfirmation(now, from, m.Revision, m.Confirmation)
+	sends := c.receiveConfirmation(now, from, m.Revision, m.Confirmation)
 	switch order := m.Revision.Compare(c.revision); {
 	case order < 0:
-		return Received{Sends: []OutgoingMessage{{from, c.digest(now)}}}
+		sends = append(sends, OutgoingMessage{from, c.digest(now)})
 	case order > 0:
 		if c.aheadPeer == "" {
 			c.aheadSince = now
 		}
 		c.aheadPeer, c.aheadRevision = from, m.Revision
-		return Received{Sends: c.requestRecords(now, storeReachable)}
+		sends = append(sends, c.requestRecords(now, storeReachable)...)
+	default:
+		sends = append(sends, c.requestRetained(now, from, m.Configuration)...)
 	}
-	return Received{Sends: c.requestRetained(now, from, m.Configuration)}
+	return Received{Sends: sends}
 }
 
 // answerRequest sends the changes after the requested revision. It sends all records if the tombstones since that
@@ -125,9 +128,8 @@
 }
 
 func (c *Core) receiveRecords(now time.Duration, from string, m *message.StoreRecords) Received {
-	received := Received{Retained: m.Retained}
 	c.hear(now, m.Revision)
-	c.receiveConfirmation(now, from, m.Revision, m.Confirmation)
+	received := Received{Retained: m.Retained, Sends: c.receiveConfirmation(now, from, m.Revision, m.Confirmation)}
 	c.nextRequestAt = 0
 	listed := make(map[string]bool, len(m.Records))
 	for _, record := range m.Records {
@@ -141,11 +143,11 @@
 	}
 	if c.bringsAllChanges(m) {
 		received.Advanced = m.Revision.After(c.revision)
-		received.Sends = c.Advance(now, m.Revision)
+		received.Sends = append(received.Sends, c.Advance(now, m.Revision)...)
 	} else if m.Revision.After(c.revision) {
 		// Changes before these are missing. The node requests them from the sender.
 		c.aheadPeer, c.aheadRevision, c.aheadSince = from, m.Revision, now-c.settings.PeerRequestDelay
-		received.Sends = c.requestRecords(now, false)
+		received.Sends = append(received.Sends, c.requestRecords(now, false)...)
 	}
 	return received
 }
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -6,6 +6,10 @@
 // is restored from a backup lacks its latest changes. Its revisions then belong to a new era, and revisions are
 // compared by era first and by number second.
 //
+// A copy is confirmed as of a moment at which the store held no change beyond its revision. That moment is never taken to
+// be later than it was: an answer of the store or a report of a peer that arrives late confirms a copy as of when it was
+// given, and not as of its arrival.
+//
 // The package owns the copy: its records, the revision up to which it is complete, the time at which that was last
 // confirmed, and the era. It does no I/O, reads no clock and has no lock. The caller passes in the time, sends the
 // returned messages and serialises access.
@@ -19,6 +23,7 @@
 	"stiletrail/internal/clock"
 	"stiletrail/internal/history"
 	"stiletrail/internal/message"
+	"stiletrail/internal/peerclock"
 )
 
 // Settings holds the intervals and limits of the replication between nodes.
@@ -70,6 +75,9 @@
 	// revision is later than this node's; it is adopted once this node reaches that revision.
 	confirmed     confirmation
 	peerConfirmed confirmation
+	// clocks dates the confirmations of peers. undated holds the last one of each peer whose clock is being measured.
+	clocks  *peerclock.Core
+	undated map[string]undatedConfirmation
 	// reconfirmedAt is when the copy was confirmed for the first time, or for the first time after entries may have
 	// expired.
 	reconfirmedAt clock.Ms
@@ -96,9 +104,12 @@
 	retainedRequests         int
 }
 
-// New returns an empty copy.
-func New(settings Settings, peers PeerPicker) *Core {
-	return &Core{settings: settings, peers: peers, records: map[string]Record{}, retained: map[string]message.StoreRecord{}}
+// New returns an empty copy. The clocks date what peers report of their own copies.
+func New(settings Settings, peers PeerPicker, clocks *peerclock.Core) *Core {
+	return &Core{
+		settings: settings, peers: peers, records: map[string]Record{}, retained: map[string]message.StoreRecord{},
+		clocks: clocks, undated: map[string]undatedConfirmation{},
+	}
 }
 
 // Revision returns the revision up to which the node knows all changes.
--- a/internal/transport/incoming.go
+++ b/internal/transport/incoming.go
@@ -12,8 +12,8 @@
 	"stiletrail/internal/message"
 )
 
-// acknowledgement is sent for each frame that was read. Its value has no meaning.
-var acknowledgement = []byte{1}
+// acknowledgement is sent for each frame that was read. Its value is the version of the messages that this node reads.
+var acknowledgement = []byte{byte(message.CurrentVersion)}
 
 func (t *Transport) accept() {
 	for {
--- a/internal/transport/outgoing_connection.go
+++ b/internal/transport/outgoing_connection.go
@@ -21,6 +21,8 @@
 	// written since that number was last 0.
 	unacknowledged      int
 	unacknowledgedBytes int
+	// version is the version of the messages that the peer reads.
+	version message.Version
 	// acknowledgementTimer fires when an acknowledgement is late, idleTimer when no frame has been sent for long.
 	acknowledgementTimer *time.Timer
 	idleTimer            *time.Timer
@@ -32,7 +34,7 @@
 	defer close(done)
 	defer func() { _ = connection.Close() }()
 	acknowledged := l.readAcknowledgements(connection, done)
-	s := &outgoingConnection{link: l, connection: connection, writer: bufio.NewWriterSize(connection, l.transport.sizes.Buffer)}
+	s := &outgoingConnection{link: l, connection: connection, writer: bufio.NewWriterSize(connection, l.transport.sizes.Buffer), version: l.transport.peerVersion(l.key.to)}
 	hello := message.Encode(&message.Hello{Address: l.transport.address})
 	_, _ = s.writer.Write(hello)
 	s.idleTimer, s.acknowledgementTimer = time.NewTimer(idleTimeout), time.NewTimer(idleTimeout)
@@ -47,12 +49,14 @@
 			if !s.send(item) {
 				return
 			}
-		case count, open := <-acknowledged:
+		case received, open := <-acknowledged:
 			if !open {
+				// A process of another release may run at the peer's address next.
+				l.transport.forgetPeerVersion(l.key.to)
 				l.connectionLost()
 				return
 			}
-			s.recordAcknowledged(count)
+			s.recordAcknowledged(received)
 		case <-s.acknowledgementTimer.C:
 			if s.unacknowledged > 0 {
 				l.closeSilent(connection)
@@ -68,7 +72,7 @@
 
 // send writes a message and all messages queued after it. It returns false if the connection must be closed.
 func (s *outgoingConnection) send(item queuedMessage) bool {
-	frames, size, ok := s.link.writeBatch(s.connection, s.writer, item)
+	frames, size, ok := s.writeBatch(item)
 	if !ok {
 		s.link.connectionLost()
 		return false
@@ -83,8 +87,12 @@
 }
 
 // recordAcknowledged records that the peer has read more frames.
-func (s *outgoingConnection) recordAcknowledged(frames int) {
-	if s.unacknowledged -= frames; s.unacknowledged == 0 {
+func (s *outgoingConnection) recordAcknowledged(received acknowledgements) {
+	if s.version != received.version {
+		s.version = received.version
+		s.link.transport.setPeerVersion(s.link.key.to, s.version)
+	}
+	if s.unacknowledged -= received.frames; s.unacknowledged == 0 {
 		s.unacknowledgedBytes = 0
 	}
 	s.acknowledgementTimer.Reset(s.link.key.acknowledgementTimeout(s.unacknowledgedBytes))
@@ -110,10 +118,17 @@
 	l.connectionLost()
 }
 
-// readAcknowledgements returns a channel of the number of frames acknowledged by each read. The channel is closed
-// when the peer closes the connection.
-func (l *peerLink) readAcknowledgements(connection net.Conn, done <-chan struct{}) <-chan int {
-	acknowledged := make(chan int)
+// acknowledgements is what one read of a connection has returned: the number of frames that the peer has read, and the
+// version of the messages that it reads.
+type acknowledgements struct {
+	frames  int
+	version message.Version
+}
+
+// readAcknowledgements returns a channel of the acknowledgements of each read. The channel is closed when the peer closes
+// the connection.
+func (l *peerLink) readAcknowledgements(connection net.Conn, done <-chan struct{}) <-chan acknowledgements {
+	acknowledged := make(chan acknowledgements)
 	l.transport.tasks.Go(func() {
 		defer close(acknowledged)
 		unregister := context.AfterFunc(l.transport.ctx, func() { _ = connection.Close() })
@@ -125,7 +140,7 @@
 				return
 			}
 			select {
-			case acknowledged <- read:
+			case acknowledged <- acknowledgements{frames: read, version: message.Version(received[read-1])}:
 			case <-done:
 				return
 			}
@@ -136,11 +151,12 @@
 
 // writeBatch writes a message and all messages queued after it, and flushes. It returns the number of frames and
 // bytes written. After an error the peer may have received any part of the batch.
-func (l *peerLink) writeBatch(connection net.Conn, writer *bufio.Writer, item queuedMessage) (frames, size int, ok bool) {
-	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
+func (s *outgoingConnection) writeBatch(item queuedMessage) (frames, size int, ok bool) {
+	l := s.link
+	_ = s.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
 	var batch []message.Message
 	for {
-		if encoded := l.encode(writer, item); encoded > 0 {
+		if encoded := s.encode(item); encoded > 0 {
 			batch = append(batch, item.message)
 			size += encoded
 		}
@@ -151,7 +167,7 @@
 		}
 		break
 	}
-	if err := writer.Flush(); err != nil {
+	if err := s.writer.Flush(); err != nil {
 		for _, m := range batch {
 			l.transport.reportUndelivered(l.key.to, m, true)
 		}
@@ -162,7 +178,8 @@
 
 // encode writes one frame into the buffer and returns its size, or 0 if the message is not sent. A sub-query whose
 // time ran out while it was queued is not sent. This happens if the process was frozen.
-func (l *peerLink) encode(writer *bufio.Writer, item queuedMessage) int {
+func (s *outgoingConnection) encode(item queuedMessage) int {
+	l := s.link
 	elapsed := l.transport.clock.Elapsed() - item.queuedAt
 	if sub, ok := item.message.(*message.SubQuery); ok {
 		waited := uint64(elapsed.Microseconds())
@@ -177,6 +194,9 @@
 	if aged, ok := item.message.(message.Aged); ok {
 		item.message = aged.WithAge(clock.FromDuration(elapsed))
 	}
+	if versioned, ok := item.message.(message.Versioned); ok {
+		item.message = versioned.For(s.version)
+	}
 	frame := message.Encode(item.message)
 	if len(frame) > message.MaximumPayload {
 		// The peer would close the connection because of this frame, and other requests in flight on it would be
@@ -184,7 +204,7 @@
 		l.transport.reportUndelivered(l.key.to, item.message, false)
 		return 0
 	}
-	_, _ = writer.Write(frame)
+	_, _ = s.writer.Write(frame)
 	counters := &l.transport.Counters
 	counters.SentFrames.Add(1)
 	counters.SentBytes.Add(uint64(len(frame)))
--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -77,6 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := networktest.New(200)
 		sender, received := pair(t, network)
+		sender.setPeerVersion("b:1", message.VersionAges)
 		sender.Send("b:1", &message.StoreDigest{Revision: history.At(1, 1), Confirmation: message.Confirmation{Confirmed: true, AgeMs: 50}})
 		if got := receive(t, "the digest", received.messages).(*message.StoreDigest); got.AgeMs != 450 {
 			t.Errorf("an age of 50 ms is reported as %d ms after 400 ms of dialling, want 450 ms", got.AgeMs)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -130,6 +130,8 @@
 
 	mutex sync.Mutex
 	links map[peerLinkKey]*peerLink
+	// versions are the versions of the messages that peers read, by address, as they have acknowledged.
+	versions map[string]message.Version
 
 	// Counters may be read at any time.
 	Counters Counters
@@ -158,7 +160,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Transport{
 		address: advertised, clock: clock.Start(), sizes: sizes, network: network, listener: listener, incoming: make(chan struct{}, maximumIncoming),
-		ctx: ctx, stop: stop, links: map[peerLinkKey]*peerLink{},
+		ctx: ctx, stop: stop, links: map[peerLinkKey]*peerLink{}, versions: map[string]message.Version{},
 	}, nil
 }
 
