Evidence of requests that crash back ends counts from when it was sent, not from its arrival

Cause: ages of crashes and answers were counted back from the arrival of the message. An answer before the crashes, told 4 s late, lay after them and ended the quarantine.

Change: the message carries the reading of its sender's clock as a last field that earlier releases are not sent; it is dated by package peerclock. Evidence of a peer whose clock is not known waits for a round trip, half a second at most, and then counts without its answers. quarantine.Core.Receive takes the moment of sending beside the present.

The drawn messages of hostile peers have the two kinds of clocks as well.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 	trials           map[quarantine.Fingerprint]int
 	quarantineWrites quarantineWrites
 	evidence         evidenceSchedule
+	heldEvidence     []heldEvidence
 	storeCopy        *storeCopy
 	clocks           *peerclock.Core
 	reports          healthReports
--- a/internal/gateway/hostile_peer_test.go
+++ b/internal/gateway/hostile_peer_test.go
@@ -15,7 +15,7 @@
 	anyMessage[message.Probe](), anyMessage[message.ProbeAck](), anyMessage[message.ProbeRequest](), anyMessage[message.MemberSync](),
 	anyMessage[message.StoreDigest](), anyMessage[message.StoreRequest](), anyMessage[message.StoreRecords](), anyMessage[message.Evidence](),
 	anyMessage[message.BackEndReports](), anyMessage[message.AttemptCounts](), anyMessage[message.AttemptSums](), anyMessage[message.BackEndVerdicts](),
-	anyMessage[message.QuotaReport](), anyMessage[message.QuotaGrant](),
+	anyMessage[message.QuotaReport](), anyMessage[message.QuotaGrant](), anyMessage[message.ClockRequest](), anyMessage[message.ClockAnswer](),
 }
 
 // anyMessage returns a generator of messages of one kind.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -69,6 +69,7 @@
 	g.compareViewsEarly(now)
 	g.sendSpread(g.storeCopy.records.Tick(now, g.receivesChanges(now), g.servedByWatchers(now)))
 	g.storeCopy.logStaleness(now)
+	g.applyHeldEvidence(now)
 	g.syncEvidence(now)
 	g.reports.core.Forget(clock.FromDuration(now))
 	g.clocks.Forget(clock.FromDuration(now))
@@ -116,7 +117,7 @@
 	case *message.ClockAnswer:
 		g.receiveClock(now, from, m)
 	case *message.Evidence:
-		g.receiveEvidence(now, m)
+		g.receiveEvidence(now, from, m)
 	case *message.BackEndReports:
 		g.receiveReports(now, m)
 	case *message.AttemptCounts, *message.AttemptSums, *message.BackEndVerdicts:
@@ -130,6 +131,7 @@
 func (g *Gateway) receiveClock(now time.Duration, from string, m *message.ClockAnswer) {
 	g.clocks.Receive(clock.FromDuration(now), from, m)
 	g.storeCopy.records.ClockMeasured(now, from)
+	g.applyHeldEvidence(now)
 }
 
 // Undelivered implements transport.Handler. Nothing is resent: what is still due is sent again by the periodic work.
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -22,8 +22,8 @@
 type network struct {
 	delay time.Duration
 
-	mutex    sync.Mutex
-	gateways map[string]*gateway.Gateway
+	mutex     sync.Mutex
+	receivers map[string]receiver
 	// droppedFrom holds the addresses whose messages are dropped.
 	droppedFrom map[string]bool
 	// droppedUntil is the moment before which all messages are dropped.
@@ -35,7 +35,7 @@
 }
 
 func newNetwork() *network {
-	return &network{delay: 12 * time.Millisecond, gateways: map[string]*gateway.Gateway{}, droppedFrom: map[string]bool{}}
+	return &network{delay: 12 * time.Millisecond, receivers: map[string]receiver{}, droppedFrom: map[string]bool{}}
 }
 
 // dropFrom drops all messages that an address sends from now on.
@@ -90,17 +90,22 @@
 	return n.delay + n.lateness(from, to)
 }
 
-// attach lets a gateway receive what is sent to an address from now on.
-func (n *network) attach(address string, g *gateway.Gateway) {
+// receiver is a gateway, or what a test puts in its place.
+type receiver interface {
+	Message(from string, m message.Message)
+}
+
+// attach lets a receiver have what is sent to an address from now on.
+func (n *network) attach(address string, r receiver) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.gateways[address] = g
+	n.receivers[address] = r
 }
 
-func (n *network) at(address string) *gateway.Gateway {
+func (n *network) at(address string) receiver {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.gateways[address]
+	return n.receivers[address]
 }
 
 // peerTransport is the transport by which one gateway sends to its peers over the network.
--- a/internal/gateway/quarantine_evidence.go
+++ b/internal/gateway/quarantine_evidence.go
@@ -113,6 +113,7 @@
 		return
 	}
 	m := g.quarantine.EvidenceOf(now, fingerprints...)
+	m.SentAt = g.clocks.Reading(now)
 	for _, peer := range g.evidence.receivers(&g.fleet) {
 		g.fleet.transport.Send(peer, m)
 	}
@@ -121,6 +122,7 @@
 // sendAllEvidence sends everything that is known of requests that crash back ends to one node.
 func (g *Gateway) sendAllEvidence(now time.Duration, peer string) {
 	if m := g.quarantine.AllEvidence(clock.FromDuration(now)); m != nil {
+		m.SentAt = g.clocks.Reading(clock.FromDuration(now))
 		g.fleet.transport.Send(peer, m)
 	}
 }
@@ -136,12 +138,6 @@
 	}
 }
 
-// receiveEvidence applies the evidence of another node, and forwards what is new to this node.
-func (g *Gateway) receiveEvidence(at time.Duration, m *message.Evidence) {
-	now := clock.FromDuration(at)
-	g.verdictsChanged(now, g.quarantine.Receive(now, m), sourcePeer)
-}
-
 // applyStoredQuarantine applies a quarantine that is recorded in the store.
 func (g *Gateway) applyStoredQuarantine(at time.Duration, fingerprint quarantine.Fingerprint, record message.StoreRecord) {
 	now := clock.FromDuration(at)
--- a/internal/message/evidence.go
+++ b/internal/message/evidence.go
@@ -1,11 +1,18 @@
 package message
 
-import "stiletrail/internal/clock"
+import (
+	"slices"
+
+	"stiletrail/internal/clock"
+)
 
 // Evidence contains what a node knows of requests that crashed back ends. All ages and durations are in
 // milliseconds.
 type Evidence struct {
 	Requests []RequestEvidence
+	// SentAt is the reading of the sender's clock when the message is sent, to which the ages are relative. It is 0 if the
+	// sender is of a release without such readings.
+	SentAt uint64
 }
 
 // RequestEvidence contains what a node knows of one request.
@@ -61,12 +68,16 @@
 		list(c, &r.SafeVersions, (*codec).string)
 		list(c, &r.CallerFingerprints, func(c *codec, caller *[16]byte) { c.fixed(caller) })
 	})
+	c.optionalUint64(&m.SentAt)
 }
 
 // WithAge implements Aged.
 func (m *Evidence) WithAge(waited clock.Ms) Message {
 	later := uint32(waited)
 	older := &Evidence{Requests: make([]RequestEvidence, len(m.Requests))}
+	if m.SentAt > 0 {
+		older.SentAt = m.SentAt + uint64(waited)
+	}
 	for i, r := range m.Requests {
 		runs := make([]Crash, len(r.Crashes))
 		for n, run := range r.Crashes {
@@ -82,3 +93,25 @@
 	}
 	return older
 }
+
+// WithoutAnswers returns the evidence without what it says of answers. An answer ends what crashes before it have begun, so
+// one whose time is not known must not count.
+func (m *Evidence) WithoutAnswers() *Evidence {
+	reduced := &Evidence{Requests: slices.Clone(m.Requests), SentAt: m.SentAt}
+	for i := range reduced.Requests {
+		reduced.Requests[i].Answered, reduced.Requests[i].AnsweredAgoMs = false, 0
+	}
+	return reduced
+}
+
+// For implements Versioned.
+func (m *Evidence) For(version Version) Message {
+	switch {
+	case version == VersionUnknown:
+		m = m.WithoutAnswers()
+		m.SentAt = 0
+	case version < VersionClocks:
+		m = &Evidence{Requests: m.Requests}
+	}
+	return m
+}
--- a/internal/mutation/quarantine_test.go
+++ b/internal/mutation/quarantine_test.go
@@ -25,6 +25,16 @@
 		"		r.aggregate = sent.Aggregate\n	}\n", "	}\n	r.aggregate = sent.Aggregate\n",
 		"./internal/quarantine", "TestPeerDoesNotExemptRequest",
 	},
+	{
+		"evidence of a peer counts from its arrival", "internal/gateway/dated_evidence.go",
+		"g.applyEvidence(received, sentAt, m)", "g.applyEvidence(received, max(sentAt, received), m)",
+		"./internal/gateway", "TestLateAnswerDoesNotEndQuarantine",
+	},
+	{
+		"evidence waits for the clock of a peer for good", "internal/gateway/dated_evidence.go",
+		"} else if now-h.receivedAt >= evidenceHold {", "} else if false {",
+		"./internal/gateway", "TestEvidenceOfSilentClock",
+	},
 	{
 		"shards are excluded while quarantines are off", "internal/quarantine/verdict.go",
 		"	if c.settings.Rounds == 0 {\n		return\n	}\n", "",
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -88,17 +88,17 @@
 // age returns a length of time as it is sent: from 0 to maximumAge, in milliseconds.
 func age(length clock.Ms) uint32 { return uint32(max(0, min(length, maximumAge))) }
 
-// Receive merges what another node knows and returns the resulting changes. Crashes and answers that the other node has
-// observed count like those observed here. A quarantine lasts here as long as it lasts there.
-func (c *Core) Receive(now clock.Ms, m *message.Evidence) (change Change) {
+// Receive merges what another node knew at the moment sentAt, and returns the resulting changes. Crashes and answers that the
+// other node has observed count like those observed here. A quarantine lasts here as long as it lasts there.
+func (c *Core) Receive(now, sentAt clock.Ms, m *message.Evidence) (change Change) {
 	for i := range m.Requests[:min(len(m.Requests), maximumRequestsSent)] {
-		c.receive(now, &m.Requests[i], &change)
+		c.receive(now, sentAt, &m.Requests[i], &change)
 	}
 	return change
 }
 
 // receive merges the evidence about one request and adds the result to change.
-func (c *Core) receive(now clock.Ms, sent *message.RequestEvidence, change *Change) {
+func (c *Core) receive(now, sentAt clock.Ms, sent *message.RequestEvidence, change *Change) {
 	fingerprint := Fingerprint(sent.Fingerprint)
 	if c.records[fingerprint] == nil && len(sent.Crashes) == 0 && sent.QuarantineRemainingMs == 0 {
 		return
@@ -110,10 +110,10 @@
 	}
 	r.shared = true
 	before := r.quarantined(now)
-	news := r.receiveAnswer(now, sent)
-	news = c.receiveCrashes(now, r, sent) || news
+	news := r.receiveAnswer(now, sentAt, sent)
+	news = c.receiveCrashes(now, sentAt, r, sent) || news
 	r.receiveDetails(sent)
-	news = r.receiveQuarantine(now, sent) || news
+	news = r.receiveQuarantine(now, sentAt, sent) || news
 	news = r.receiveSafeVersions(sent) || news
 	if news && !before && r.quarantinedUntil <= now {
 		c.quarantineIfDue(now, r)
@@ -128,8 +128,8 @@
 }
 
 // receiveAnswer records that a back end answered the request, and reports whether this changes the record.
-func (r *record) receiveAnswer(now clock.Ms, sent *message.RequestEvidence) (news bool) {
-	answeredAt := now - clock.Ms(sent.AnsweredAgoMs)
+func (r *record) receiveAnswer(now, sentAt clock.Ms, sent *message.RequestEvidence) (news bool) {
+	answeredAt := sentAt - clock.Ms(sent.AnsweredAgoMs)
 	if !sent.Answered || r.answered && answeredAt <= r.answeredAt+timeTolerance {
 		return false
 	}
@@ -144,11 +144,11 @@
 }
 
 // receiveCrashes records crashes during executions of the request, and reports whether they add rounds.
-func (c *Core) receiveCrashes(now clock.Ms, r *record, sent *message.RequestEvidence) (news bool) {
+func (c *Core) receiveCrashes(now, sentAt clock.Ms, r *record, sent *message.RequestEvidence) (news bool) {
 	for _, crash := range sent.Crashes[:min(len(sent.Crashes), maximumCrashesSent)] {
 		newRound := c.addCrash(now, r, Crash{
 			Service: crash.Service, BackEnd: crash.BackEnd, Version: crash.Version,
-			StartedAt: now - clock.Ms(crash.StartedAgoMs), CrashedAt: now - clock.Ms(crash.CrashedAgoMs),
+			StartedAt: sentAt - clock.Ms(crash.StartedAgoMs), CrashedAt: sentAt - clock.Ms(crash.CrashedAgoMs),
 		})
 		news = news || newRound
 	}
@@ -165,8 +165,8 @@
 
 // receiveQuarantine records that another node has quarantined the request, and reports whether it was not quarantined
 // here.
-func (r *record) receiveQuarantine(now clock.Ms, sent *message.RequestEvidence) (news bool) {
-	quarantinedAt, until := now-clock.Ms(sent.QuarantinedForMs), now+clock.Ms(min(sent.QuarantineRemainingMs, uint32(maximumAge)))
+func (r *record) receiveQuarantine(now, sentAt clock.Ms, sent *message.RequestEvidence) (news bool) {
+	quarantinedAt, until := sentAt-clock.Ms(sent.QuarantinedForMs), sentAt+clock.Ms(min(sent.QuarantineRemainingMs, uint32(maximumAge)))
 	// An answer after the quarantine began has ended it, even if the sender has not heard of that answer yet.
 	answeredSince := r.answered && r.answeredAt >= quarantinedAt
 	if sent.QuarantineRemainingMs > 0 && until > r.quarantinedUntil+timeTolerance && !answeredSince {
--- a/internal/quarantine/faulty_peer_test.go
+++ b/internal/quarantine/faulty_peer_test.go
@@ -14,7 +14,7 @@
 	core.RecordCrash(10, id, crashOf("s", "1", 0, 10))
 	core.RecordCrash(20, id, crashOf("s", "2", 10, 20))
 	for _, fingerprint := range []quarantine.Fingerprint{id.Request, id.CallerRequest} {
-		core.Receive(20, &message.Evidence{Requests: []message.RequestEvidence{{
+		core.Receive(20, 20, &message.Evidence{Requests: []message.RequestEvidence{{
 			Fingerprint: fingerprint, Aggregate: true,
 			Crashes: []message.Crash{{Service: "s", BackEnd: "3", Version: "v1", StartedAgoMs: 0, CrashedAgoMs: 0}},
 		}}})
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -248,13 +248,13 @@
 		exchange := func() {
 			for _, pair := range rapid.SliceOfN(rapid.IntRange(0, nodes*nodes-1), 20, 60).Draw(rt, "exchanges") {
 				if m := cores[pair/nodes].AllEvidence(now); m != nil {
-					cores[pair%nodes].Receive(now, m)
+					cores[pair%nodes].Receive(now, now, m)
 				}
 			}
 			for range nodes {
 				for i := range cores {
 					if m := cores[i].AllEvidence(now); m != nil {
-						cores[(i+1)%nodes].Receive(now, m)
+						cores[(i+1)%nodes].Receive(now, now, m)
 					}
 				}
 			}
@@ -272,7 +272,7 @@
 		}
 		for i, core := range cores {
 			for _, other := range cores {
-				core.Receive(now, other.EvidenceOf(now, change.Share...))
+				core.Receive(now, now, other.EvidenceOf(now, change.Share...))
 			}
 			if got := core.Verdict(now, id); got == quarantine.Quarantined {
 				rt.Fatalf("verdict of node %d after an answer: %v, want not quarantined", i, got)
@@ -327,7 +327,7 @@
 			return evidence
 		})
 		core, now := newCore(), clock.Ms(rapid.IntRange(0, 1<<40).Draw(rt, "now"))
-		core.Receive(now, &message.Evidence{Requests: rapid.SliceOf(drawn).Draw(rt, "evidence")})
+		core.Receive(now, now, &message.Evidence{Requests: rapid.SliceOf(drawn).Draw(rt, "evidence")})
 		core.AllEvidence(now)
 		if core.Len() > 32 {
 			rt.Fatalf("%d records after one message, want at most 32", core.Len())
