stiletraild: the age of the configuration counts from when a peer was asked, not from the arrival of its answer

Nothing is decided by that age.

Change: the answer to a summary returns the clock reading of the question (a last field that earlier releases are not sent), and its age counts as of then. What a peer says unasked says nothing of ages.

--- a/internal/gossip/compare.go
+++ b/internal/gossip/compare.go
@@ -4,21 +4,24 @@
 	"time"
 
 	"stiletrail/internal/catalog"
+	"stiletrail/internal/clock"
 	"stiletrail/internal/membership"
 	"stiletrail/internal/message"
 )
 
 // Compare starts a comparison of the catalogs with one peer, for example a peer that has just become reachable again.
 func (c *Core) Compare(now time.Duration, peer string) membership.OutgoingMessage {
-	return membership.OutgoingMessage{To: peer, Message: c.summary(now, false)}
+	m := c.summary(now)
+	m.SentAt = c.clock.Reading(clock.FromDuration(now))
+	return membership.OutgoingMessage{To: peer, Message: m}
 }
 
-func (c *Core) summary(now time.Duration, reply bool) *message.CatalogSummary {
+func (c *Core) summary(now time.Duration) *message.CatalogSummary {
 	age := int64(-1)
 	if elapsed, known := c.ConfigurationAge(now); known {
 		age = elapsed.Milliseconds()
 	}
-	return &message.CatalogSummary{Hash: c.catalog.Hash(), AgeMilliseconds: age, Ready: c.ready, Reply: reply}
+	return &message.CatalogSummary{Hash: c.catalog.Hash(), AgeMilliseconds: age, Ready: c.ready}
 }
 
 func (c *Core) receiveSummary(now time.Duration, from string, m *message.CatalogSummary) []membership.OutgoingMessage {
@@ -30,15 +33,17 @@
 	if m.Reply {
 		return nil
 	}
-	return []membership.OutgoingMessage{{To: from, Message: c.summary(now, true)}}
+	answer := c.summary(now)
+	answer.Reply, answer.SentAt = true, m.SentAt
+	return []membership.OutgoingMessage{{To: from, Message: answer}}
 }
 
 // recordEqual records that a peer has an equal catalog. If the peer knows when its catalog was equal to the store's,
 // this node's catalog was equal to the store's at that time too. A node that is not ready counts the ready peers with
 // an equal catalog, and becomes ready when there are enough.
 func (c *Core) recordEqual(now time.Duration, from string, m *message.CatalogSummary) {
-	if m.AgeMilliseconds >= 0 {
-		c.equalAt = max(c.equalAt, now-time.Duration(m.AgeMilliseconds)*time.Millisecond)
+	if sentAfter, known := c.sentAfter(now, m); known && m.AgeMilliseconds >= 0 {
+		c.equalAt = max(c.equalAt, sentAfter-time.Duration(m.AgeMilliseconds)*time.Millisecond)
 	}
 	if c.ready || !m.Ready {
 		return
@@ -47,6 +52,17 @@
 	c.ready = len(c.equalPeers) >= c.requiredPeers()
 }
 
+// sentAfter returns the latest moment after which a summary must have been sent. Only an answer has one that is known: the
+// summary that it answers was sent before it. A peer of a release that does not say which one that was is trusted to be in
+// time.
+func (c *Core) sentAfter(now time.Duration, m *message.CatalogSummary) (moment time.Duration, known bool) {
+	if m.SentAt == 0 {
+		return now, true
+	}
+	asked, own := c.clock.Moment(clock.FromDuration(now), m.SentAt)
+	return asked.Duration(), m.Reply && own
+}
+
 // requiredPeers returns the number of ready peers that must have an equal catalog before this node is ready:
 // Settings.JoinPeers, or the number of usable peers if there are fewer, but at least one.
 func (c *Core) requiredPeers() int {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -4,8 +4,9 @@
 // package also decides when a node's catalog is complete enough to serve requests.
 //
 // Each node knows the age of its catalog: the time since the catalog was last known to be equal to the store's. A
-// node learns that by reading the whole store itself, or from a peer that knows it and has an equal catalog. The age
-// grows with time and only shrinks on such evidence.
+// node learns that by reading the whole store itself, or from a peer that knows it and has an equal catalog. What a peer
+// says of it counts as of when the node asked, since the answer may have been under way for any time since. The age grows
+// with time and only shrinks on such evidence.
 //
 // The package owns that age, and the set of peers whose catalog is equal to that of a node that is not ready; package
 // catalog owns the documents. It relies on a PeerPicker for a choice of members. The caller must pass the time, read
@@ -19,6 +20,7 @@
 	"stiletrail/internal/catalog"
 	"stiletrail/internal/membership"
 	"stiletrail/internal/message"
+	"stiletrail/internal/peerclock"
 )
 
 // Settings of the core.
@@ -57,6 +59,8 @@
 	peers    PeerPicker
 	// equalAt is the last time at which the catalog was known to be equal to the store's.
 	equalAt time.Duration
+	// clock dates the summaries that this node sends, and by them the answers.
+	clock *peerclock.Core
 	// nextComparison is the time at which this node next starts comparisons with peers.
 	nextComparison time.Duration
 	// ready is true if requests may be served with this catalog. Until then equalPeers has the addresses of the ready
@@ -72,6 +76,7 @@
 	return &Core{
 		settings: settings, catalog: local, peers: peers,
 		equalAt: neverEqual, equalPeers: map[string]bool{}, onDocument: onDocument,
+		clock: peerclock.New(peers.Self().Generation + 1),
 	}
 }
 
@@ -118,7 +123,7 @@
 	}
 	var sends []membership.OutgoingMessage
 	for _, target := range targets {
-		sends = append(sends, membership.OutgoingMessage{To: target, Message: c.summary(now, false)})
+		sends = append(sends, c.Compare(now, target))
 	}
 	return sends
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -77,6 +77,24 @@
 	}
 }
 
+// TestLateAnswerConfirmsAsOfQuestion guards against a catalog that is told to callers as more recent than it is: the answer of a
+// peer counted from its arrival. It counts from when it was asked for, and what a peer says unasked does not count.
+func TestLateAnswerConfirmsAsOfQuestion(t *testing.T) {
+	core, peer := newCore("a"), newCore("self")
+	peer.RecordStoreRead(3 * time.Second)
+	unasked := peer.Compare(4*time.Second, "self").Message
+	core.Receive(9*time.Second, "a", unasked)
+	if age, known := core.ConfigurationAge(9 * time.Second); known {
+		t.Errorf("the age is %v by what a peer says unasked, want none", age)
+	}
+	question := core.Compare(5*time.Second, "a").Message
+	answers := peer.Receive(5*time.Second, "self", question)
+	core.Receive(9*time.Second, "a", answers[0].Message)
+	if age, known := core.ConfigurationAge(9 * time.Second); !known || age != 6*time.Second {
+		t.Errorf("the age is %v (known: %v) after an answer that took 4 s and says 2 s, want 6 s", age, known)
+	}
+}
+
 // TestComparisonMakesCatalogsEqual checks that after one comparison both nodes have the higher version of each service,
 // whichever documents they had before.
 func TestComparisonMakesCatalogsEqual(t *testing.T) {
--- a/internal/message/catalog.go
+++ b/internal/message/catalog.go
@@ -11,6 +11,22 @@
 	Ready bool
 	// Reply is set on the answer to a summary with an equal hash.
 	Reply bool
+	// SentAt is the reading of the sender's clock when it sends the first summary of an exchange. The answer returns it. It
+	// is 0 if the node that began the exchange is of a release without such readings.
+	SentAt uint64
+}
+
+// For implements Versioned. An answer that does not say which summary it answers cannot be dated, so its age is left out
+// unless its receiver knows nothing but ages.
+func (m *CatalogSummary) For(version Version) Message {
+	reduced := *m
+	if version < VersionClocks {
+		reduced.SentAt = 0
+	}
+	if version == VersionUnknown || version >= VersionClocks && m.Reply && m.SentAt == 0 {
+		reduced.AgeMilliseconds = -1
+	}
+	return &reduced
 }
 
 // Kind implements Message.
@@ -20,6 +36,7 @@
 	c.int64(&m.AgeMilliseconds)
 	c.bool(&m.Ready)
 	c.bool(&m.Reply)
+	c.optionalUint64(&m.SentAt)
 }
 
 // CatalogBuckets contains the hash of each bucket of services.
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -58,6 +58,7 @@
 		&AttemptSums{AgeMs: 8, Sums: []AttemptSum{{BackEnd: 1 << 60, SentTenths: 900, RefusedTenths: 500, UnreachableTenths: 100, BusyMs: 3000}}},
 		&BackEndVerdicts{AgeMs: 9, Verdicts: []BackEndVerdict{{BackEnd: 1 << 60, RefusedPercent: 60, Unreachable: true}}, Watched: []uint64{5}},
 		&ClockRequest{SentAt: 1 << 62}, &ClockAnswer{RequestSentAt: 1 << 62, At: 1<<61 + 5},
+		&CatalogSummary{Hash: 1, AgeMilliseconds: 5, Reply: true, SentAt: 1<<61 + 7},
 		&Evidence{Requests: []RequestEvidence{{Answered: true, AnsweredAgoMs: 5}}, SentAt: 1<<61 + 7},
 		&StoreDigest{Revision: history.At(1, 4), Confirmation: Confirmation{Confirmed: true, AgeMs: 40, At: 1<<61 + 7}},
 		&StoreRecords{Since: history.At(1, 3), Revision: history.At(1, 4), Confirmation: Confirmation{Confirmed: true, AgeMs: 40, At: 1<<61 + 7}},
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -126,6 +126,11 @@
 		"	return b.window.HasCapacity() && len(b.queue) == 0 && now >= b.notBefore", "	return now >= b.notBefore",
 		"./internal/dispatch", "TestNoHedgesIntoFullWindows",
 	},
+	{
+		"what a peer says of its catalog counts from its arrival", "internal/gossip/compare.go",
+		"	return asked.Duration(), m.Reply && own\n", "	return max(now, asked.Duration()), m.Reply && own\n",
+		"./internal/gossip", "TestLateAnswerConfirmsAsOfQuestion",
+	},
 	{
 		"a new node serves before peers have confirmed its configuration", "internal/gossip/compare.go",
 		"	c.ready = len(c.equalPeers) >= c.requiredPeers()\n", "	c.ready = true\n",
--- a/internal/peerclock/peerclock.go
+++ b/internal/peerclock/peerclock.go
@@ -57,6 +57,13 @@
 // Reading returns what this node's clock shows to peers at a moment.
 func (c *Core) Reading(moment clock.Ms) uint64 { return c.origin + uint64(moment) }
 
+// Moment returns the moment at which this node's clock showed a reading. It returns false if that cannot be a reading of this
+// process, or is too old.
+func (c *Core) Moment(now clock.Ms, reading uint64) (moment clock.Ms, own bool) {
+	moment = clock.Ms(reading - c.origin)
+	return moment, moment >= 0 && moment <= now && now-moment <= maximumAge
+}
+
 // Earliest returns the earliest moment at which the clock of a peer can have shown a reading. It returns false if the
 // clock of the process that gave the reading has not been measured.
 func (c *Core) Earliest(now clock.Ms, from string, reading uint64) (moment clock.Ms, known bool) {
@@ -100,8 +107,8 @@
 // Receive handles the answer of a peer.
 func (c *Core) Receive(now clock.Ms, from string, m *message.ClockAnswer) {
 	p := c.peers[from]
-	requestedAt := clock.Ms(m.RequestSentAt - c.origin)
-	if p == nil || requestedAt < 0 || requestedAt > now || now-requestedAt > maximumAge {
+	requestedAt, own := c.Moment(now, m.RequestSentAt)
+	if p == nil || !own {
 		// The answer belongs to a request of an earlier process of this node, or to none.
 		return
 	}
