A configuration that was rejected is tried again when the settings change

Found by reading.

Cause: a configuration with a region that the settings do not know is turned down, and nothing looked at it again after a reload. Change: the copy of the store keeps the record that was turned down, and Reconfigure applies it again.

Before: TestRejectedConfigurationUnderNewSettings, "version 1 is in force after the settings have added its region, want 2".

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,7 @@
 	g.storeCopy.configure(&settings)
 	g.replicas.Reconfigure(settings.Replica, settings.Topology)
 	g.quarantine.Reconfigure(settings.Quarantine)
+	g.applyRejectedConfiguration()
 	g.updateLimits(g.table.Load())
 	for _, budget := range g.budgets {
 		budget.SetShare(settings.Retries.Share)
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -11,6 +11,7 @@
 	"stiletrail/internal/gateway"
 	"stiletrail/internal/region"
 	"stiletrail/internal/routing"
+	"stiletrail/internal/settings"
 )
 
 // restrictedConfiguration is a configuration whose routes may be served in the given regions only.
@@ -177,6 +178,31 @@
 	})
 }
 
+// TestRejectedConfigurationUnderNewSettings guards against a confirmed configuration that never comes into force: it names a
+// region that the node's settings add only after it was read. A later version that was applied meanwhile stays.
+func TestRejectedConfigurationUnderNewSettings(t *testing.T) {
+	changed := settings.DefaultGateway()
+	changed.Zone = "zone"
+	changed.Regions = map[string]string{"zone": "a", "other": "b", "new": "c"}
+	for name, versions := range map[string][]gateway.Item{
+		"the latest was rejected":     {restrictedConfiguration(2, "a", "c")},
+		"a later one came into force": {restrictedConfiguration(2, "a", "c"), restrictedConfiguration(3, "a", "b")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withGateway(t, func(t *testing.T, s *fixture) {
+				for _, version := range versions {
+					s.store.put(version)
+					time.Sleep(2 * time.Second)
+				}
+				s.gateway.Reconfigure(withSeed(changed, 1))
+				if got, want := s.gateway.Version(), uint64(1+len(versions)); got != want {
+					t.Errorf("version %d is in force after the settings have added its region, want %d", got, want)
+				}
+			})
+		})
+	}
+}
+
 // TestRequestKeepsRegionsOfItsVersion checks that a request in flight keeps the allowed regions of the configuration
 // version that it began with, also for attempts that it sends later. The next request has the regions of the new
 // version.
--- a/internal/gateway/store_changes.go
+++ b/internal/gateway/store_changes.go
@@ -150,6 +150,7 @@
 	if err != nil {
 		item.Err = err
 		g.log.ItemRejected(item)
+		g.storeCopy.rejected = record
 		return
 	}
 	g.splitter.Retain(table)
@@ -166,6 +167,18 @@
 	g.log.ConfigurationApplied(table, item.Revision, g.storeCopy.status(g.now()))
 }
 
+// applyRejectedConfiguration puts the latest configuration into force if it was rejected under other settings.
+func (g *Gateway) applyRejectedConfiguration() {
+	rejected := g.storeCopy.rejected
+	if rejected.Key == "" {
+		return
+	}
+	item := g.store.Decode(rejected)
+	if configuration, ok := item.Content.(Configuration); ok {
+		g.applyConfiguration(&item, configuration, rejected)
+	}
+}
+
 // compileTable builds the routing table of a configuration. It fails if the configuration names a region that this node
 // does not know.
 func (g *Gateway) compileTable(configuration Configuration) (*routing.Table, error) {
--- a/internal/gateway/store_copy.go
+++ b/internal/gateway/store_copy.go
@@ -33,6 +33,8 @@
 	loggedStale bool
 	// configuration is the record of the configuration in force.
 	configuration message.StoreRecord
+	// rejected is the record of the latest configuration if it could not be put into force. Other settings may allow it.
+	rejected message.StoreRecord
 	// pendingEvacuationEnds are the keys of evacuations that a restored store does not list, with the moment from which
 	// they are taken to have ended.
 	pendingEvacuationEnds map[string]time.Duration
@@ -180,7 +182,7 @@
 
 // setConfiguration records which configuration is in force.
 func (c *storeCopy) setConfiguration(record message.StoreRecord, version uint64) {
-	c.configuration = record
+	c.configuration, c.rejected = record, message.StoreRecord{}
 	c.records.SetConfiguration(version)
 }
 
--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -496,6 +496,11 @@
 		"if !c.peerConfirmed.known || c.peerConfirmed.revision.After(c.revision) {", "if !c.peerConfirmed.known {",
 		"./internal/spread", "TestConfirmation",
 	},
+	{
+		"a configuration that was rejected is not tried again under new settings", "internal/gateway/gateway.go",
+		"	g.applyRejectedConfiguration()\n", "",
+		"./internal/gateway", "TestRejectedConfigurationUnderNewSettings",
+	},
 	{
 		"an answer of the store confirms a copy as of its arrival", "internal/spread/confirmation.go",
 		"at: clock.FromDuration(asOf), by: Store", "at: clock.FromDuration(now), by: Store",
