--- a/internal/mutation/gateway_test.go
+++ b/internal/mutation/gateway_test.go
@@ -492,7 +492,7 @@
 		"./internal/gateway", "TestFailingWatchers",
 	},
 	{
-		"a peer's report about the store counts before its changes have arrived", "internal/spread/confirmation.go",
+		"a peer's report about the store counts before its changes have arrived", "internal/spread/peer_confirmation.go",
 		"if !c.peerConfirmed.known || c.peerConfirmed.revision.After(c.revision) {", "if !c.peerConfirmed.known {",
 		"./internal/spread", "TestConfirmation",
 	},
@@ -512,7 +512,7 @@
 		"./internal/follow", "TestAnsweredAfter",
 	},
 	{
-		"a report of a peer confirms a copy as of its arrival", "internal/spread/confirmation.go",
+		"a report of a peer confirms a copy as of its arrival", "internal/spread/peer_confirmation.go",
 		"	if m.At == 0 {\n", "	if true {\n",
 		"./internal/gateway", "TestLateMessagesOfWatchers",
 	},
--- a/internal/transport/outgoing_connection.go
+++ b/internal/transport/outgoing_connection.go
@@ -34,7 +34,10 @@
 	defer close(done)
 	defer func() { _ = connection.Close() }()
 	acknowledged := l.readAcknowledgements(connection, done)
-	s := &outgoingConnection{link: l, connection: connection, writer: bufio.NewWriterSize(connection, l.transport.sizes.Buffer), version: l.transport.peerVersion(l.key.to)}
+	s := &outgoingConnection{
+		link: l, connection: connection, writer: bufio.NewWriterSize(connection, l.transport.sizes.Buffer),
+		version: l.transport.peerVersion(l.key.to),
+	}
 	hello := message.Encode(&message.Hello{Address: l.transport.address})
 	_, _ = s.writer.Write(hello)
 	s.idleTimer, s.acknowledgementTimer = time.NewTimer(idleTimeout), time.NewTimer(idleTimeout)
