transport: what was left out of a frame is sent again once the version of its receiver is known

Cause: to a peer that has acknowledged nothing yet a digest confirms nothing.

Change: the last digest and the last evidence that were reduced for that reason are sent again after the first acknowledgement. Both may be heard twice. TestConfirmationOfPeerVersion and TestConfirmationOfEarlierRelease expect it.

--- a/internal/message/version.go
+++ b/internal/message/version.go
@@ -24,6 +24,16 @@
 	For(version Version) Message
 }
 
+// Repeatable reports whether a message may be sent twice: it is small, and the second one changes nothing that the first one
+// has told.
+func Repeatable(m Message) bool {
+	switch m.Kind() {
+	case KindStoreDigest, KindEvidence:
+		return true
+	}
+	return false
+}
+
 // For returns the confirmation for a receiver that reads a version. A receiver that reads no dates has to trust the age.
 // One whose version is not known is not given an age either, because it may be one that would rather have the date.
 func (m Confirmation) For(version Version) Confirmation {
--- a/internal/transport/outgoing_connection.go
+++ b/internal/transport/outgoing_connection.go
@@ -21,8 +21,10 @@
 	// written since that number was last 0.
 	unacknowledged      int
 	unacknowledgedBytes int
-	// version is the version of the messages that the peer reads.
-	version message.Version
+	// version is the version of the messages that the peer reads. withheld has the last message of each kind of which a
+	// part was left out because the version was not known yet. They are sent again once it is.
+	version  message.Version
+	withheld map[message.Kind]queuedMessage
 	// acknowledgementTimer fires when an acknowledgement is late, idleTimer when no frame has been sent for long.
 	acknowledgementTimer *time.Timer
 	idleTimer            *time.Timer
@@ -36,7 +38,7 @@
 	acknowledged := l.readAcknowledgements(connection, done)
 	s := &outgoingConnection{
 		link: l, connection: connection, writer: bufio.NewWriterSize(connection, l.transport.sizes.Buffer),
-		version: l.transport.peerVersion(l.key.to),
+		version: l.transport.peerVersion(l.key.to), withheld: map[message.Kind]queuedMessage{},
 	}
 	hello := message.Encode(&message.Hello{Address: l.transport.address})
 	_, _ = s.writer.Write(hello)
@@ -60,6 +62,9 @@
 				return
 			}
 			s.recordAcknowledged(received)
+			if !s.sendWithheld() {
+				return
+			}
 		case <-s.acknowledgementTimer.C:
 			if s.unacknowledged > 0 {
 				l.closeSilent(connection)
@@ -89,6 +94,21 @@
 	return true
 }
 
+// sendWithheld sends again what was left out while the version of the peer was not known. It returns false if the connection
+// must be closed.
+func (s *outgoingConnection) sendWithheld() bool {
+	if s.version == message.VersionUnknown {
+		return true
+	}
+	for kind, item := range s.withheld {
+		delete(s.withheld, kind)
+		if !s.send(item) {
+			return false
+		}
+	}
+	return true
+}
+
 // recordAcknowledged records that the peer has read more frames.
 func (s *outgoingConnection) recordAcknowledged(received acknowledgements) {
 	if s.version != received.version {
@@ -183,6 +203,9 @@
 // time ran out while it was queued is not sent. This happens if the process was frozen.
 func (s *outgoingConnection) encode(item queuedMessage) int {
 	l := s.link
+	if s.version == message.VersionUnknown && message.Repeatable(item.message) {
+		s.withheld[item.message.Kind()] = item
+	}
 	elapsed := l.transport.clock.Elapsed() - item.queuedAt
 	if sub, ok := item.message.(*message.SubQuery); ok {
 		waited := uint64(elapsed.Microseconds())
--- a/internal/transport/peer_version_test.go
+++ b/internal/transport/peer_version_test.go
@@ -13,13 +13,16 @@
 )
 
 // TestConfirmationOfPeerVersion guards against undated confirmations between nodes that can date them: the first message to
-// a peer carries no confirmation, and the messages after its first acknowledgement carry the reading of the sender's clock.
+// a peer carries no confirmation. It is sent again after its acknowledgement, and carries the reading of the sender's clock
+// then, as all messages after it.
 func TestConfirmationOfPeerVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sender, received := pair(t, networktest.New(12))
 		confirmation := message.Confirmation{Confirmed: true, AgeMs: 50, At: 7}
 		for round, want := range []message.Confirmation{{}, confirmation, confirmation} {
-			sender.Send("b:1", &message.StoreDigest{Revision: history.At(1, 1), Confirmation: confirmation})
+			if round != 1 {
+				sender.Send("b:1", &message.StoreDigest{Revision: history.At(1, 1), Confirmation: confirmation})
+			}
 			if got := receive(t, "a digest", received.messages).(*message.StoreDigest); got.At != want.At || got.Confirmed != want.Confirmed {
 				t.Errorf("message %d has the confirmation %+v, want %+v", round, got.Confirmation, want)
 			}
@@ -37,8 +40,10 @@
 		sender.Serve(newEvents())
 		t.Cleanup(sender.Close)
 		digests := acknowledgeAs(t, network, "b:1", message.VersionAges)
-		for round, want := range []message.Confirmation{{}, {Confirmed: true, AgeMs: 50}} {
-			sender.Send("b:1", &message.StoreDigest{Revision: history.At(1, 1), Confirmation: message.Confirmation{Confirmed: true, AgeMs: 50, At: 7}})
+		for round, want := range []message.Confirmation{{}, {Confirmed: true, AgeMs: 50}, {Confirmed: true, AgeMs: 50}} {
+			if round != 1 {
+				sender.Send("b:1", &message.StoreDigest{Revision: history.At(1, 1), Confirmation: message.Confirmation{Confirmed: true, AgeMs: 50, At: 7}})
+			}
 			if got := receive(t, "a digest", digests); got.At != 0 || got.Confirmed != want.Confirmed {
 				t.Errorf("message %d has the confirmation %+v, want %+v", round, got.Confirmation, want)
 			}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,7 +3,8 @@
 // A node has up to two connections to each peer, one for control and one for queries, so that a large answer does
 // not delay a probe. Messages flow in one direction of a connection. In the other direction flows one byte of
 // acknowledgement for each frame that was read, which states the version of the messages that the peer reads. The
-// transport never sends a frame twice. It reports each undelivered message, and whether the peer may have received it.
+// transport never sends a frame twice, but for those of which it had left a part out before it knew that version. It
+// reports each undelivered message, and whether the peer may have received it.
 //
 // The package owns the listener, a queue and a goroutine for each link to a peer (peer_link.go,
 // outgoing_connection.go), a goroutine for each connection that a peer opened (incoming.go), and the versions that
