--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"syscall"
 	"time"
 )
@@ -49,12 +50,8 @@
 
 // start starts all nodes. The numbered ones are the seeds.
 func (f *fleet) start(seedNodes []int) error {
-	var seeds []string
-	for _, i := range seedNodes {
-		seeds = append(seeds, f.nodes[i].link.address)
-	}
 	for _, n := range f.nodes {
-		n.settings = settingsOf(n, f.store.address, f.zones, seeds)
+		n.settings = settingsOf(n, f.store.address, f.zones, f.seeds(seedNodes))
 		if err := n.start(); err != nil {
 			return err
 		}
@@ -62,6 +59,24 @@
 	return nil
 }
 
+func (f *fleet) seeds(nodes []int) (addresses []string) {
+	for _, i := range nodes {
+		addresses = append(addresses, f.nodes[i].link.address)
+	}
+	return addresses
+}
+
+// changeSeeds lays a settings file with other seeds and tells the process of it.
+func (f *fleet) changeSeeds(n *node, seedNodes []int) error {
+	n.settings = settingsOf(n, f.store.address, f.zones, f.seeds(seedNodes))
+	if err := os.WriteFile(n.boot, []byte(n.settings), 0o600); err != nil {
+		return err
+	}
+	f.scene.record.add("seeds of node=%s are now %v", n.name, seedNodes)
+	n.signal(syscall.SIGHUP)
+	return nil
+}
+
 // awaitReady waits until all nodes are ready, or for a time.
 func (f *fleet) awaitReady(longest time.Duration) bool {
 	for until := time.Now().Add(longest); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
@@ -92,6 +107,20 @@
 	return ready[client%len(ready)]
 }
 
+// pickAny returns a ready node for the client with a number, or nil if there is none.
+func (f *fleet) pickAny(client int) *node {
+	var ready []*node
+	for _, n := range f.nodes {
+		if n.isReady.Load() {
+			ready = append(ready, n)
+		}
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[client%len(ready)]
+}
+
 // setCut cuts a zone from the others, or heals the cut.
 func (f *fleet) setCut(zone string, cut bool) {
 	for _, n := range f.nodes {
--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -155,7 +155,7 @@
 	_ = n.command.Process.Signal(s)
 }
 
-// stop ends the process for good.
+// stop ends the process for good, unless it has ended so before.
 func (n *node) stop() {
 	n.mu.Lock()
 	n.stopped = true
--- a/review/standins-2/quota_cut.go
+++ b/review/standins-2/quota_cut.go
@@ -91,16 +91,7 @@
 			}
 		}
 	}
-	f.store.put("op/config", map[string]any{
-		"Version": 7,
-		"Routes": []any{map[string]any{
-			"Name": "receipt", "Host": "fetch.example", "PathPrefix": "/receipt/", "Type": "idempotent", "TimeoutMs": 2000,
-			"TargetLatencyMs": 1000, "MaxAttempts": 2, "Priority": 1, "Service": "receipts",
-		}},
-		"Services": []any{map[string]any{"Name": "receipts", "HealthPath": "/health", "MaxConnections": 200}},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 30000},
-		"Tenants":  []any{map[string]any{"Name": "tenant-1", "ApiKeys": []string{"key-1"}, "RatePerS": tenantRate, "Burst": tenantBurst}},
-	})
+	f.store.put("op/config", tenantConfiguration(tenantRate))
 	// One machine of each hall is among the seeds.
 	if err := f.start([]int{0, 2, 4}); err != nil {
 		return "", false, err
@@ -150,3 +141,17 @@
 	}
 	open.Wait()
 }
+
+// tenantConfiguration returns a configuration with one route and one tenant that may send a number of requests a second.
+func tenantConfiguration(ratePerSecond float64) map[string]any {
+	return map[string]any{
+		"Version": 7,
+		"Routes": []any{map[string]any{
+			"Name": "receipt", "Host": "fetch.example", "PathPrefix": "/receipt/", "Type": "idempotent", "TimeoutMs": 2000,
+			"TargetLatencyMs": 1000, "MaxAttempts": 2, "Priority": 1, "Service": "receipts",
+		}},
+		"Services": []any{map[string]any{"Name": "receipts", "HealthPath": "/health", "MaxConnections": 200}},
+		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 30000},
+		"Tenants":  []any{map[string]any{"Name": "tenant-1", "ApiKeys": []string{"key-1"}, "RatePerS": ratePerSecond, "Burst": tenantBurst}},
+	}
+}
