--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -28,6 +28,9 @@
 			if err != nil {
 				return nil, err
 			}
+			if n.storeLink, err = newLink(st.address, zone); err != nil {
+				return nil, err
+			}
 			f.nodes = append(f.nodes, n)
 			zoneOf[n.link.address] = zone
 		}
@@ -51,7 +54,7 @@
 // start starts all nodes. The numbered ones are the seeds.
 func (f *fleet) start(seedNodes []int) error {
 	for _, n := range f.nodes {
-		n.settings = settingsOf(n, f.store.address, f.zones, f.seeds(seedNodes))
+		n.settings = settingsOf(n, f.zones, f.seeds(seedNodes))
 		if err := n.start(); err != nil {
 			return err
 		}
@@ -68,7 +71,7 @@
 
 // changeSeeds lays a settings file with other seeds and tells the process of it.
 func (f *fleet) changeSeeds(n *node, seedNodes []int) error {
-	n.settings = settingsOf(n, f.store.address, f.zones, f.seeds(seedNodes))
+	n.settings = settingsOf(n, f.zones, f.seeds(seedNodes))
 	if err := os.WriteFile(n.boot, []byte(n.settings), 0o600); err != nil {
 		return err
 	}
--- a/review/standins-2/link.go
+++ b/review/standins-2/link.go
@@ -16,7 +16,9 @@
 	mu sync.Mutex
 	// cutZone is the zone that is cut from the others, empty if none is.
 	cutZone string
-	open    map[*passage]bool
+	// silent is set while the link passes nothing for anybody.
+	silent bool
+	open   map[*passage]bool
 	// zones gives the zone of each node by the address at which it is reached, which is in the first bytes that it sends.
 	zones map[string]string
 }
@@ -68,8 +70,19 @@
 	}
 }
 
+// setSilent cuts the link for everybody, or heals the cut.
+func (l *link) setSilent(silent bool) {
+	l.mu.Lock()
+	l.silent = silent
+	l.mu.Unlock()
+	l.setCut(l.zone, silent)
+}
+
 // isCut reports whether a passage crosses the cut. The caller holds the lock.
 func (l *link) isCut(p *passage) bool {
+	if l.silent {
+		return true
+	}
 	return l.cutZone != "" && (p.fromZone == l.cutZone) != (l.zone == l.cutZone)
 }
 
--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -14,6 +14,13 @@
 	"time"
 )
 
+// applyWithin is the bound on a configuration and on a leaving back end, and contactTime the time after which an undisturbed
+// machine is in touch.
+const (
+	applyWithin = 3 * time.Second
+	contactTime = 5 * time.Second
+)
+
 // restartDelay is the short delay after which the platform starts a process again that has ended.
 const restartDelay = 300 * time.Millisecond
 
@@ -21,7 +28,7 @@
 type node struct {
 	name, zone            string
 	callers, ready, peer  string
-	link                  *link
+	link, storeLink       *link
 	program, folder, boot string
 	settings              string
 	record                *record
@@ -63,7 +70,7 @@
 
 // settingsOf returns the lines that the template of the deploy file gives, filled for a small deployment. The peers reach
 // the node at the address of its link.
-func settingsOf(n *node, storeAddress string, zones []string, seeds []string) string {
+func settingsOf(n *node, zones []string, seeds []string) string {
 	var regions []string
 	for _, zone := range zones {
 		regions = append(regions, zone+"=region-"+zone)
@@ -72,13 +79,14 @@
 		fmt.Sprintf("node: %q", n.name),
 		fmt.Sprintf("caller_address: %q", n.callers),
 		fmt.Sprintf("ready_address: %q", n.ready),
-		fmt.Sprintf("store_address: %q", storeAddress),
+		fmt.Sprintf("store_address: %q", n.storeLink.address),
 		fmt.Sprintf("peer_address: %q", n.peer),
 		fmt.Sprintf("peer_advertised_address: %q", n.link.address),
 		fmt.Sprintf("seeds: [%s]", strings.Join(seeds, ",")),
 		fmt.Sprintf("zone: %q", n.zone),
 		fmt.Sprintf("regions: [%s]", strings.Join(regions, ",")),
-		"stop_within: 6s", "entry_interval: 1200ms", "leaving_time: 5000ms", "apply_within: 5000ms",
+		"stop_within: 6s", "entry_interval: 1200ms",
+		fmt.Sprintf("leaving_time: %dms", applyWithin.Milliseconds()), fmt.Sprintf("apply_within: %dms", applyWithin.Milliseconds()),
 		"retry_share: 0.2", "retry_window: 10s", "retry_slack: 58",
 		fmt.Sprintf("quota_window: %ds", quotaWindow/time.Second),
 		fmt.Sprintf("quota_overage: %v", quotaOverage),
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -21,17 +21,28 @@
 	Gone     bool   `json:"gone,omitempty"`
 }
 
-// pageItems is the number of items in a page of a listing.
-const pageItems = 500
+// pageItems is the number of items in a page of a listing, and historyTime for how long a change is remembered.
+const (
+	pageItems   = 500
+	historyTime = 20 * time.Second
+)
+
+// event is a change in the history of the store.
+type event struct {
+	item
+	at time.Time
+}
 
 // store is the platform's metadata store: linearizable, with watches, transactions and leases.
 type store struct {
 	address string
 
-	mu        sync.Mutex
-	revision  uint64
-	items     map[string]item
-	history   []item
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]item
+	history  []event
+	// forgotten is the revision up to which the history is forgotten.
+	forgotten uint64
 	changed   chan struct{}
 	lastLease uint64
 	leases    map[uint64]time.Time
@@ -84,7 +95,7 @@
 			}
 			s.items[c.Key] = c
 		}
-		s.history = append(s.history, c)
+		s.history = append(s.history, event{c, time.Now()})
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -109,6 +120,14 @@
 	}
 }
 
+// forget drops the changes that are older than historyTime. The caller holds the lock.
+func (s *store) forget() {
+	for len(s.history) > 0 && time.Since(s.history[0].at) > historyTime {
+		s.forgotten = s.history[0].Revision
+		s.history = s.history[1:]
+	}
+}
+
 func answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -151,14 +170,19 @@
 	for {
 		s.mu.Lock()
 		s.endLeases()
+		s.forget()
 		events := []item{}
-		for _, event := range s.history {
-			if event.Revision > after && strings.HasPrefix(event.Key, prefix) {
-				events = append(events, event)
+		for _, e := range s.history {
+			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+				events = append(events, e.item)
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed, forgotten := s.revision, s.changed, s.forgotten
 		s.mu.Unlock()
+		if after < forgotten {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) > 0 {
 			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
