--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -26,9 +26,10 @@
 
 // cases has the cases by name. Each returns what it has seen of the rule, and whether the rule was broken.
 var cases = map[string]func(*scene) (seen string, broken bool, err error){
-	"quota-cut":     playQuotaCut,
-	"survivor":      playSurvivor,
-	"large-changes": playLargeChanges,
+	"quota-restarts": playQuotaRestarts,
+	"quota-cut":      playQuotaCut,
+	"survivor":       playSurvivor,
+	"large-changes":  playLargeChanges,
 }
 
 func main() {
--- a/review/standins-2/quota_cut.go
+++ b/review/standins-2/quota_cut.go
@@ -8,18 +8,22 @@
 	"time"
 )
 
-// The bounds and the tenant of the case.
+// The bounds on limits.
 const (
 	quotaWindow  = 5 * time.Second
 	quotaOverage = 0.1
 	quotaSlack   = 20
-	tenantRate   = 40.0
-	tenantBurst  = 0.0
 )
 
-// quotaAllowed returns the number of requests of the tenant that must not be exceeded in any window.
-func quotaAllowed() float64 {
-	return (tenantRate*quotaWindow.Seconds()+tenantBurst)*(1+quotaOverage) + quotaSlack
+// cutLimit is the limit of the tenant in this case.
+var cutLimit = limit{ratePerSecond: 40}
+
+// limit is the limit of a tenant.
+type limit struct{ ratePerSecond, burst float64 }
+
+// bound returns the number of requests of the tenant that must not be exceeded in any window.
+func (l limit) bound() float64 {
+	return (l.ratePerSecond*quotaWindow.Seconds()+l.burst)*(1+quotaOverage) + quotaSlack
 }
 
 // moments are those at which a request was sent and began to run.
@@ -32,6 +36,30 @@
 	ran  map[string]time.Duration
 }
 
+func newUsage() *usage {
+	return &usage{sent: map[string]time.Duration{}, ran: map[string]time.Duration{}}
+}
+
+// addCountedBackEnds starts two back ends in each zone that count the requests which they run.
+func (f *fleet) addCountedBackEnds(u *usage) error {
+	for _, zone := range f.zones {
+		for i := range 2 {
+			b, err := f.addBackEnd(fmt.Sprintf("i-%s-%d", zone, i), "receipts", zone, 5*time.Millisecond)
+			if err != nil {
+				return err
+			}
+			b.onRun = func(id, _ string) {
+				u.mu.Lock()
+				defer u.mu.Unlock()
+				if _, again := u.ran[id]; !again {
+					u.ran[id] = f.scene.record.now()
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // busiest returns the greatest number of requests that were both sent and run within one window, and when it ended.
 func (u *usage) busiest(window time.Duration) (most int, end time.Duration) {
 	u.mu.Lock()
@@ -75,23 +103,11 @@
 		return "", false, err
 	}
 	defer f.stop()
-	u := &usage{sent: map[string]time.Duration{}, ran: map[string]time.Duration{}}
-	for _, zone := range zones {
-		for i := range 2 {
-			b, err := f.addBackEnd(fmt.Sprintf("i-%s-%d", zone, i), "receipts", zone, 5*time.Millisecond)
-			if err != nil {
-				return "", false, err
-			}
-			b.onRun = func(id, _ string) {
-				u.mu.Lock()
-				defer u.mu.Unlock()
-				if _, again := u.ran[id]; !again {
-					u.ran[id] = s.record.now()
-				}
-			}
-		}
+	u := newUsage()
+	if err := f.addCountedBackEnds(u); err != nil {
+		return "", false, err
 	}
-	f.store.put("op/config", tenantConfiguration(tenantRate))
+	f.store.put("op/config", tenantConfiguration(cutLimit))
 	// One machine of each hall is among the seeds.
 	if err := f.start([]int{0, 2, 4}); err != nil {
 		return "", false, err
@@ -101,7 +117,7 @@
 	}
 	var work sync.WaitGroup
 	for _, zone := range zones {
-		work.Go(func() { loadTenant(s, f, u, zone) })
+		work.Go(func() { loadTenant(s, f, u, zone, load{from: loadFrom, until: loadUntil, perSecond: loadPerZone}) })
 	}
 	if s.trouble {
 		sleepUntil(s, cutAt)
@@ -116,17 +132,23 @@
 	work.Wait()
 	time.Sleep(clientTimeout)
 	most, end := u.busiest(quotaWindow)
-	seen := fmt.Sprintf("QUOTA: at most %d requests sent and run within %v (until %.1f s), bound %.0f", most, quotaWindow, end.Seconds(), quotaAllowed())
-	return seen, float64(most) > quotaAllowed(), nil
+	seen := fmt.Sprintf("QUOTA: at most %d requests sent and run within %v (until %.1f s), bound %.0f", most, quotaWindow, end.Seconds(), cutLimit.bound())
+	return seen, float64(most) > cutLimit.bound(), nil
 }
 
 func sleepUntil(s *scene, moment time.Duration) { time.Sleep(moment - s.record.now()) }
 
+// load is the traffic of the tenant's clients of one zone.
+type load struct {
+	from, until time.Duration
+	perSecond   int
+}
+
 // loadTenant sends the requests of the tenant's clients of one zone.
-func loadTenant(s *scene, f *fleet, u *usage, zone string) {
+func loadTenant(s *scene, f *fleet, u *usage, zone string, l load) {
 	var open sync.WaitGroup
-	for n := 0; s.record.now() < loadUntil; n++ {
-		sleepUntil(s, loadFrom+time.Duration(n)*time.Second/loadPerZone)
+	for n := 0; s.record.now() < l.until; n++ {
+		sleepUntil(s, l.from+time.Duration(n)*time.Second/time.Duration(l.perSecond))
 		target := f.pick(zone, n)
 		if target == nil {
 			continue
@@ -142,8 +164,8 @@
 	open.Wait()
 }
 
-// tenantConfiguration returns a configuration with one route and one tenant that may send a number of requests a second.
-func tenantConfiguration(ratePerSecond float64) map[string]any {
+// tenantConfiguration returns a configuration with one route and one tenant.
+func tenantConfiguration(l limit) map[string]any {
 	return map[string]any{
 		"Version": 7,
 		"Routes": []any{map[string]any{
@@ -152,6 +174,6 @@
 		}},
 		"Services": []any{map[string]any{"Name": "receipts", "HealthPath": "/health", "MaxConnections": 200}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 30000},
-		"Tenants":  []any{map[string]any{"Name": "tenant-1", "ApiKeys": []string{"key-1"}, "RatePerS": ratePerSecond, "Burst": tenantBurst}},
+		"Tenants":  []any{map[string]any{"Name": "tenant-1", "ApiKeys": []string{"key-1"}, "RatePerS": l.ratePerSecond, "Burst": l.burst}},
 	}
 }
--- a/review/standins-2/survivor.go
+++ b/review/standins-2/survivor.go
@@ -42,7 +42,7 @@
 			return "", false, err
 		}
 	}
-	f.store.put("op/config", tenantConfiguration(100))
+	f.store.put("op/config", tenantConfiguration(limit{ratePerSecond: 100}))
 	if err := f.start([]int{0, 1, 2}); err != nil {
 		return "", false, err
 	}
