--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -26,10 +26,11 @@
 
 // cases has the cases by name. Each returns what it has seen of the rule, and whether the rule was broken.
 var cases = map[string]func(*scene) (seen string, broken bool, err error){
-	"quota-restarts": playQuotaRestarts,
-	"quota-cut":      playQuotaCut,
-	"survivor":       playSurvivor,
-	"large-changes":  playLargeChanges,
+	"quota-one-restart": playQuotaOneRestart,
+	"quota-restarts":    playQuotaRestarts,
+	"quota-cut":         playQuotaCut,
+	"survivor":          playSurvivor,
+	"large-changes":     playLargeChanges,
 }
 
 func main() {
--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,7 +22,7 @@
 	contactTime = 5 * time.Second
 )
 
-// restartDelay is the short delay after which the platform starts a process again that has ended.
+// restartDelay is the short delay after which the platform starts a process again that has ended, unless a node has its own.
 const restartDelay = 300 * time.Millisecond
 
 // node is a machine that runs a gateway as the deploy file says. The platform starts its process again when it ends.
@@ -36,22 +37,36 @@
 	mu                    sync.Mutex
 	command               *exec.Cmd
 	stopped               bool
-	ended                 chan struct{}
+	// restartAfter is the delay after which the process is started again.
+	restartAfter time.Duration
+	ended        chan struct{}
 }
 
+// The ports of nodes lie below those that the system gives to outgoing connections, one of which could otherwise take the
+// port of a process that is about to start again.
+const (
+	firstPort = 20000
+	portCount = 12000
+	portTries = 1000
+)
+
 // freeAddress returns a loopback address with a port that is free now.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var last error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp4", address)
+		if err == nil {
+			return address, listener.Close()
+		}
+		last = err
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", last
 }
 
 // newNode returns a node that is not started. Other nodes reach it through its link.
 func newNode(r *record, program, folder, name, zone string) (*node, error) {
-	n := &node{name: name, zone: zone, program: program, folder: folder, record: r, ended: make(chan struct{})}
+	n := &node{name: name, zone: zone, program: program, folder: folder, record: r, ended: make(chan struct{}), restartAfter: restartDelay}
 	for _, address := range []*string{&n.callers, &n.ready, &n.peer} {
 		free, err := freeAddress()
 		if err != nil {
@@ -129,7 +144,7 @@
 		n.mu.Unlock()
 		_ = command.Wait()
 		n.record.add("ended node=%s", n.name)
-		time.Sleep(restartDelay)
+		time.Sleep(n.restartAfter)
 		n.mu.Lock()
 		stopped := n.stopped
 		n.mu.Unlock()
