A roster of running nodes: which records of the store say who runs

A process that has just started remembers nobody. It has read the store, or a copy of it, before it serves anybody; so the store can tell it.

The store client grants, renews and writes under leases; the stand-in of the store renews them.

Nothing uses it yet.

--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -43,6 +43,7 @@
 	err     error
 	// suppressEvents makes watches deliver nothing, so that they end only at their timeout.
 	suppressEvents bool
+	leases         []*fakeLease
 	changed        chan struct{}
 	calls          int
 }
@@ -135,6 +136,76 @@
 	return true, nil
 }
 
+// GrantLease implements gateway.Store.
+func (s *fakeStore) GrantLease(_ context.Context, length clock.Ms) (gateway.LeaseID, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.err != nil {
+		return 0, s.err
+	}
+	granted := &fakeLease{length: length.Duration()}
+	s.leases = append(s.leases, granted)
+	granted.timer = time.AfterFunc(granted.length, func() { s.endLease(granted) })
+	return gateway.LeaseID(len(s.leases)), nil
+}
+
+// fakeLease is a lease that can be renewed, with the keys that end with it.
+type fakeLease struct {
+	length time.Duration
+	timer  *time.Timer
+	keys   map[string]history.Revision
+	ended  bool
+}
+
+func (s *fakeStore) endLease(l *fakeLease) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l.ended = true
+	for key, revision := range l.keys {
+		if s.items[key].Revision == revision {
+			s.apply(message.StoreRecord{Key: key, Deleted: true})
+		}
+	}
+}
+
+// heldLease returns a lease that is not over, or nil. The caller holds the lock.
+func (s *fakeStore) heldLease(lease gateway.LeaseID) *fakeLease {
+	if l := s.leases[lease-1]; !l.ended {
+		return l
+	}
+	return nil
+}
+
+// RenewLease implements gateway.Store.
+func (s *fakeStore) RenewLease(_ context.Context, lease gateway.LeaseID) (bool, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l := s.heldLease(lease)
+	if s.err != nil || l == nil {
+		return false, s.err
+	}
+	l.timer.Reset(l.length)
+	return true, nil
+}
+
+// WriteLeased implements gateway.Store.
+func (s *fakeStore) WriteLeased(_ context.Context, key string, value []byte, lease gateway.LeaseID) (bool, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	l := s.heldLease(lease)
+	if s.err != nil || l == nil {
+		return false, s.err
+	}
+	s.apply(message.StoreRecord{Key: key, Value: value})
+	if l.keys == nil {
+		l.keys = map[string]history.Revision{}
+	}
+	l.keys[key] = s.items[key].Revision
+	return true, nil
+}
+
 // Remove implements gateway.Store.
 func (s *fakeStore) Remove(_ context.Context, key string) error {
 	s.mutex.Lock()
@@ -257,6 +328,7 @@
 func (discardLog) VerdictChanged(quarantine.Fingerprint, quarantine.Verdict, string, clock.Ms) {
 }
 func (discardLog) RetrialClaimed(quarantine.Fingerprint, string)                             {}
+func (discardLog) RosterNotWritten(*failure.Failure)                                         {}
 func (discardLog) QuarantineNotWritten(quarantine.Fingerprint, *failure.Failure)             {}
 func (discardLog) ConfigurationApplied(*routing.Table, history.Revision, gateway.CopyStatus) {}
 func (discardLog) ItemRejected(*gateway.Item)                                                {}
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"stiletrail/internal/clock"
 	"stiletrail/internal/forward"
 	"stiletrail/internal/gateway"
 	"stiletrail/internal/history"
@@ -139,6 +140,8 @@
 	regions map[string]string
 	// named gives each node a name of its own, by which it takes its turns.
 	named bool
+	// starts counts the starts of all nodes. Each process has a generation of its own.
+	starts uint64
 }
 
 // nodeStore is the store as one node reaches it.
@@ -184,6 +187,30 @@
 	return s.fakeStore.Write(ctx, w)
 }
 
+// GrantLease implements gateway.Store.
+func (s *nodeStore) GrantLease(ctx context.Context, length clock.Ms) (gateway.LeaseID, error) {
+	if s.disconnected.Load() {
+		return 0, errUnavailable
+	}
+	return s.fakeStore.GrantLease(ctx, length)
+}
+
+// RenewLease implements gateway.Store.
+func (s *nodeStore) RenewLease(ctx context.Context, lease gateway.LeaseID) (bool, error) {
+	if s.disconnected.Load() {
+		return false, errUnavailable
+	}
+	return s.fakeStore.RenewLease(ctx, lease)
+}
+
+// WriteLeased implements gateway.Store.
+func (s *nodeStore) WriteLeased(ctx context.Context, key string, value []byte, lease gateway.LeaseID) (bool, error) {
+	if s.disconnected.Load() {
+		return false, errUnavailable
+	}
+	return s.fakeStore.WriteLeased(ctx, key, value, lease)
+}
+
 // Remove implements gateway.Store.
 func (s *nodeStore) Remove(ctx context.Context, key string) error {
 	if s.disconnected.Load() {
@@ -232,8 +259,9 @@
 	if c.regions != nil {
 		loaded.Regions = c.regions
 	}
+	c.starts++
 	g := gateway.New(withSeed(loaded, uint64(number)+7), c.backEnds, c.stores[number], discardLog{})
-	self := membership.Member{Address: address(number), Zone: loaded.Zone, Region: loaded.Regions[loaded.Zone], Generation: uint64(number) + 1, Incarnation: uint64(time.Now().UnixMilli())}
+	self := membership.Member{Address: address(number), Zone: loaded.Zone, Region: loaded.Regions[loaded.Zone], Generation: c.starts, Incarnation: uint64(time.Now().UnixMilli())}
 	g.Join(self, []string{address(0), address(1)}, peerTransport{c.network, address(number)})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.gateways[number], c.contexts[number] = g, cancel
@@ -276,6 +304,12 @@
 	})
 }
 
+// kill ends the process of a node. What is sent to it from now on is lost.
+func (c *cluster) kill(number int) {
+	c.contexts[number]()
+	c.network.attach(address(number), nil)
+}
+
 // TestNodeWithoutStoreAccess checks that a node that cannot reach the store has each change in force within three
 // seconds all the same, because its peers announce it.
 func TestNodeWithoutStoreAccess(t *testing.T) {
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -30,8 +30,11 @@
 	IfAbsent bool
 }
 
+// LeaseID identifies a lease of the store. 0 is none.
+type LeaseID uint64
+
 // Store is the metadata store. The gateway reads the configuration, the back ends and the evacuated zones from it, and
-// writes quarantines and claims of retrials. Failed calls return failures with the code STORE_UNAVAILABLE or, if the
+// writes quarantines, claims of retrials and the roster of running nodes. Failed calls return failures with the code STORE_UNAVAILABLE or, if the
 // answer cannot be read, MALFORMED. FailureKind tells their kind.
 type Store interface {
 	// List reads the page of keys that follow the key after. known is the revision that the node knows; the store
@@ -44,6 +47,13 @@
 	// Write writes an entry of this node, and reports whether it was written. It is not if w.IfAbsent is set and the key
 	// is in the store already.
 	Write(ctx context.Context, w StoreWrite) (written bool, err error)
+	// GrantLease returns a new lease of the given length.
+	GrantLease(ctx context.Context, length clock.Ms) (LeaseID, error)
+	// RenewLease makes a lease last for its whole length again. It reports false if the lease is over.
+	RenewLease(ctx context.Context, lease LeaseID) (held bool, err error)
+	// WriteLeased writes an entry that the store deletes when the lease ends. It reports false if the lease is over; nothing
+	// is written then.
+	WriteLeased(ctx context.Context, key string, value []byte, lease LeaseID) (held bool, err error)
 	// Remove deletes an entry that nodes have written.
 	Remove(ctx context.Context, key string) error
 	// FailureKind returns the kind of a failure that a call to this store has returned.
