--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -127,6 +127,11 @@
 	l.warn(EventQuarantineNotWritten, logrus.Fields{fieldFingerprint: fingerprint.String(), fieldReason: cause.Error()})
 }
 
+// RosterNotWritten implements gateway.DecisionLog.
+func (l *Log) RosterNotWritten(cause *failure.Failure) {
+	l.warn(EventRosterNotWritten, logrus.Fields{fieldReason: cause.Error()})
+}
+
 // ConfigurationApplied implements gateway.DecisionLog.
 func (l *Log) ConfigurationApplied(table *routing.Table, revision history.Revision, before gateway.CopyStatus) {
 	l.info(EventConfigurationApplied, logrus.Fields{
--- a/internal/decisionlog/names.go
+++ b/internal/decisionlog/names.go
@@ -100,6 +100,7 @@
 	EventVerdictChanged       = "request_judged"
 	EventRetrialClaimed       = "request_retrial"
 	EventQuarantineNotWritten = "quarantine_not_written"
+	EventRosterNotWritten     = "roster_not_written"
 	EventConfigurationApplied = "configuration_in_force"
 	EventItemRejected         = "item_rejected"
 	EventBackEndUpdated       = "back_end"
--- a/internal/gateway/decision_log.go
+++ b/internal/gateway/decision_log.go
@@ -33,6 +33,9 @@
 	RetrialClaimed(fingerprint quarantine.Fingerprint, version string)
 	// QuarantineNotWritten records that a quarantine could not be written to the store. The write is retried.
 	QuarantineNotWritten(fingerprint quarantine.Fingerprint, cause *failure.Failure)
+	// RosterNotWritten records that this node could not write or renew its record of the roster of running nodes. The call is
+	// made again.
+	RosterNotWritten(cause *failure.Failure)
 	// ConfigurationApplied records that the configuration of a revision of the store has come into force. before describes
 	// the copy of the store before that.
 	ConfigurationApplied(table *routing.Table, revision history.Revision, before CopyStatus)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 //   - shared_health.go: sharedHealth is this node's part in finding refusing and unreachable back ends together with others.
 //   - quotas.go: quotas takes and lends the tokens of limits over all nodes (package quota). retry_slack.go borrows extra
 //     attempts as such tokens.
+//   - roster.go: rosterState is this node's part in the roster of running nodes, which is kept in the store for the limits.
 //   - maintain.go ends doubtful states whose time has passed. suspensions.go tracks suspensions of the machine.
 //   - status.go and decision_log.go show the state to operators.
 package gateway
@@ -89,6 +90,7 @@
 	reports          healthReports
 	shared           sharedHealth
 	quotas           quotas
+	roster           rosterState
 	fleet            fleet
 }
 
@@ -146,6 +148,7 @@
 		go g.tickPeers(ctx)
 		go g.sendReports(ctx)
 		go g.runSharedHealth(ctx)
+		go g.keepRoster(ctx)
 	}
 	g.readStore(ctx)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 	"stiletrail/internal/clock"
 	"stiletrail/internal/membership"
 	"stiletrail/internal/message"
+	"stiletrail/internal/roster"
 	"stiletrail/internal/sharedhealth"
 	"stiletrail/internal/spread"
 )
@@ -26,6 +27,7 @@
 		transport: peers, seeds: seeds, manyWereStarting: true,
 	}
 	g.joinQuotas(self)
+	g.roster.core = roster.New(roster.Entry{Address: self.Address, Zone: self.Zone, Region: self.Region, Process: roster.ProcessOf(self)})
 }
 
 // pickSpreadPeers picks random members to which news of the store is sent. It picks none for a larger count while others
@@ -75,6 +77,7 @@
 	g.clocks.Forget(clock.FromDuration(now))
 	g.updateStarting(now)
 	g.updateMembers(now)
+	g.updateQuotaMembers(now)
 }
 
 // updateStarting divides the shared limits again when many nodes have begun to start, or do not any more.
@@ -97,7 +100,6 @@
 		f.nodeCount = len(f.members.Members())
 	}
 	g.divideAmongNodes()
-	g.updateQuotaMembers()
 	g.log.MembersChanged(f.members.AliveCount())
 }
 
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,6 +9,7 @@
 	"stiletrail/internal/membership"
 	"stiletrail/internal/message"
 	"stiletrail/internal/quota"
+	"stiletrail/internal/roster"
 	"stiletrail/internal/routing"
 	"stiletrail/internal/tenant"
 )
@@ -77,26 +77,11 @@
 // joinQuotas replaces the holder of a node without peers by one that lends tokens to and borrows from peers. It is called
 // before the node serves requests.
 func (g *Gateway) joinQuotas(self membership.Member) {
-	process := uint32(self.Generation)
-	for process == 0 {
-		process = rand.Uint32()
-	}
 	current := func(key quota.LimitID) (quota.Limit, bool) {
 		limit, known := g.quotas.limits[key]
 		return limit, known
 	}
-	g.quotas.holder = quota.New(g.nowMs(), quota.Self{Address: self.Address, Process: process}, current)
-}
-
-// updateQuotaMembers tells the holder which nodes there are.
-func (g *Gateway) updateQuotaMembers() {
-	known := g.fleet.members.Members()
-	members := make([]quota.Member, 0, len(known))
-	for _, m := range known {
-		members = append(members, quota.Member{Address: m.Address, Zone: m.Zone, Region: m.Region, Usable: m.Usable()})
-	}
-	g.quotas.metOthers = g.quotas.metOthers || len(known) > 1
-	g.quotas.holder.SetMembers(g.nowMs(), members, g.fleet.joined && !g.cutOffFromStart())
+	g.quotas.holder = quota.New(g.nowMs(), quota.Self{Address: self.Address, Process: roster.ProcessOf(self)}, current)
 }
 
 // cutOffFromStart reports whether this node has seeds and has never heard of another member. It may be the only node, but
@@ -104,6 +89,7 @@
 func (g *Gateway) cutOffFromStart() bool {
 	self := g.fleet.members.Self().Address
 	others := slices.ContainsFunc(g.fleet.seeds, func(seed string) bool { return seed != self })
+	g.quotas.metOthers = g.quotas.metOthers || len(g.fleet.members.Members()) > 1
 	return others && !g.quotas.metOthers
 }
 
--- a/internal/gateway/store_changes.go
+++ b/internal/gateway/store_changes.go
@@ -21,6 +21,8 @@
 	}
 	g.replicas.DistrustDeparted(now + g.settings.Load().StoreCopy.DistrustDepartedFor)
 	g.quarantineWrites.scheduleClaimRewrites()
+	// The restored store may have given the number of the lease to another client.
+	g.roster.lease = 0
 	g.log.StoreRestored(era)
 }
 
@@ -56,6 +58,9 @@
 
 // apply puts the content of a record into force.
 func (g *Gateway) apply(now time.Duration, record message.StoreRecord) {
+	if g.applyRoster(record) {
+		return
+	}
 	if fingerprint, found := quarantine.ParseKey(record.Key); found {
 		g.applyStoredQuarantine(now, fingerprint, record)
 		return
@@ -97,6 +102,9 @@
 // applyDeletion handles that a key was deleted. If it is the key of a back end, the back end is still used until the
 // moment usedUntil.
 func (g *Gateway) applyDeletion(now time.Duration, key string, usedUntil time.Duration) {
+	if g.applyRoster(message.StoreRecord{Key: key, Deleted: true}) {
+		return
+	}
 	if fingerprint, found := quarantine.ParseKey(key); found {
 		g.applyQuarantineDeletion(now, fingerprint)
 		return
--- a/internal/quota/accountant.go
+++ b/internal/quota/accountant.go
@@ -172,6 +172,7 @@
 	if p == nil {
 		p = newPool(limit)
 		p.owned, p.ownedSince = a.ownedSince(now, id)
+		_, p.substitute = a.ranking().assigned(id.key, id.pool)
 		p.rankedBy = a.ranking().version
 		a.pools[id] = p
 	}
@@ -202,6 +203,7 @@
 		}
 	}
 	p.owned, p.ownedSince, p.rankedBy = owned, since, a.ranking().version
+	_, p.substitute = a.ranking().assigned(id.key, id.pool)
 }
 
 // inDoubtFor returns how long the tokens count that another process has lent of a pool until now.
@@ -221,14 +223,19 @@
 
 // capacity returns how many tokens of a pool may be used or lent now. While tokens may be in use that another process has
 // lent of the pool, it is the reserve. Once members have been away for long, the accountants that they may have among
-// them get the part that corresponds to these members.
+// them get the part that corresponds to these members. A lost member may still lend of its pools, so whoever acts for it has a
+// part of them.
 func (a *accountant) capacity(now clock.Ms, p *pool, index uint8) int {
 	lent := poolShare(p.limit.working(), index)
 	succeeding := p.ownedSince > a.startedAt+settleTime && now-p.ownedSince < p.inDoubtFor()+rankingSpread
 	if a.starting(now, p) || succeeding || now < p.unknownUntil {
 		lent = poolShare(p.limit.total(), index) - lent
 	}
-	return int(float64(lent)*a.lowestReach(now, p) + roundingError)
+	part := a.lowestReach(now, p)
+	if p.substitute {
+		part = lostShare
+	}
+	return int(float64(lent)*part + roundingError)
 }
 
 // tick forgets pools that nobody uses.
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -121,19 +121,35 @@
 // rank chooses the accountants again.
 func (h *Holder) rank(now clock.Ms) {
 	h.accountant.rank(newRanking(now, h.members, h.awaySince))
-	gone := 0
 	h.rankAgain = math.MaxInt64
 	for _, since := range h.awaySince {
-		if now-since >= shrinkAfter {
-			gone++
-		}
 		for _, after := range []clock.Ms{shrinkAfter, takeOverAfter} {
 			if at := since + after; at > now {
 				h.rankAgain = min(h.rankAgain, at)
 			}
 		}
 	}
-	h.accountant.setReach(now, 1-float64(gone)/float64(max(1, len(h.members))))
+	h.accountant.setReach(now, h.reach(now))
+}
+
+// reach returns the part of all tokens that belongs to the members that this node reaches. Of the part of lost members, those
+// that the store lists as running have lostShare.
+func (h *Holder) reach(now clock.Ms) float64 {
+	total, gone, lost := len(h.members), 0, 0
+	for _, m := range h.members {
+		if since, away := h.awaySince[m.Address]; !away || now-since < shrinkAfter {
+			continue
+		}
+		gone++
+		if m.Lost {
+			lost++
+		}
+	}
+	reached := float64(total-gone) / float64(max(1, total))
+	if lost > 0 {
+		return reached + lostShare*float64(lost)/float64(total)*float64(total-gone)/float64(total-lost)
+	}
+	return reached
 }
 
 func (h *Holder) usage(now clock.Ms, key LimitID, limit Limit) *usage {
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -66,9 +66,10 @@
 	lent int
 	// nextRetry is when the last of the nodes that got no tokens was told to ask again.
 	nextRetry clock.Ms
-	// owned is set if this node is the accountant of the pool, which it became at ownedSince. rankedBy is the version of the
-	// ranking by which that was decided.
+	// owned is set if this node is the accountant of the pool, which it became at ownedSince, and substitute if it is so in the
+	// place of a lost one. rankedBy is the version of the ranking by which that was decided.
 	owned      bool
+	substitute bool
 	ownedSince clock.Ms
 	rankedBy   uint64
 	// unknownUntil is until when tokens may be in use whose uses were forgotten under a shorter window.
--- a/internal/quota/ranking.go
+++ b/internal/quota/ranking.go
@@ -27,12 +27,16 @@
 	Region  string
 	// Usable is false for members that are away. They are members still, since they may have tokens and may return.
 	Usable bool
+	// Lost is set for a member that is away and that the store does not list as running. It is gone, or it reaches neither
+	// the other nodes nor the store.
+	Lost bool
 }
 
 // candidate is a member that can be the accountant of a pool.
 type candidate struct {
 	address string
 	hash    uint64
+	lost    bool
 }
 
 // ranking decides which member is the accountant of a pool.
@@ -57,7 +61,7 @@
 	slices.SortFunc(kept, func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
 	byRegion, byZone := map[string][]candidate{}, map[string][]candidate{}
 	for _, m := range kept {
-		c := candidate{address: m.Address, hash: hashOf(m.Address)}
+		c := candidate{address: m.Address, hash: hashOf(m.Address), lost: m.Lost}
 		byRegion[m.Region] = append(byRegion[m.Region], c)
 		byZone[m.Zone] = append(byZone[m.Zone], c)
 		r.regions[m.Address] = m.Region
@@ -82,29 +86,48 @@
 // owner returns the address of the accountant of a pool, or an empty string if there is no candidate. It is the one with
 // the highest score of its group (rendezvous hashing), so a new candidate takes over its part of the pools and moves no
 // others. Two pools that fall to the same group are divided between the halves of the group, so that the loss of one node
-// does not take both.
+// does not take both. If the accountant is lost, it is the candidate that acts for it.
 func (r *ranking) owner(key LimitID, pool uint8) string {
+	address, _ := r.assigned(key, pool)
+	return address
+}
+
+// assigned returns the owner of a pool, and whether it acts for a lost accountant.
+func (r *ranking) assigned(key LimitID, pool uint8) (address string, substitute bool) {
 	groups := uint64(len(r.groups))
 	if groups == 0 {
-		return ""
+		return "", false
 	}
 	group := r.groups[(uint64(key)%groups+uint64(pool))%groups]
 	half := (uint64(key)/groups + uint64(pool)/groups) % halves
-	if best := highest(group, key, pool, func(c candidate) bool { return mix(c.hash)%halves == half }); best != "" {
-		return best
+	best := highest(group, key, pool, func(c candidate) bool { return mix(c.hash)%halves == half })
+	if best.address == "" {
+		best = highest(group, key, pool, func(candidate) bool { return true })
+	}
+	if !best.lost {
+		return best.address, false
+	}
+	return r.substituteIn(group, key, pool), true
+}
+
+// substituteIn returns the address of the candidate that acts for a lost accountant: one of its group, if that has any.
+func (r *ranking) substituteIn(group []candidate, key LimitID, pool uint8) string {
+	running := func(c candidate) bool { return !c.lost }
+	if best := highest(group, key, pool, running); best.address != "" {
+		return best.address
 	}
-	return highest(group, key, pool, func(candidate) bool { return true })
+	return highest(slices.Concat(r.groups...), key, pool, running).address
 }
 
-// highest returns the address of the candidate with the highest score for a pool among those that match.
-func highest(group []candidate, key LimitID, pool uint8, match func(candidate) bool) string {
-	best, highest := "", uint64(0)
+// highest returns the candidate with the highest score for a pool among those that match.
+func highest(group []candidate, key LimitID, pool uint8, match func(candidate) bool) (best candidate) {
+	highest := uint64(0)
 	for _, c := range group {
 		if !match(c) {
 			continue
 		}
-		if score := mix(c.hash ^ mix(uint64(key)+uint64(pool))); best == "" || score > highest {
-			best, highest = c.address, score
+		if score := mix(c.hash ^ mix(uint64(key)+uint64(pool))); best.address == "" || score > highest {
+			best, highest = c, score
 		}
 	}
 	return best
--- a/internal/roster/plan.go
+++ b/internal/roster/plan.go
@@ -108,6 +108,8 @@
 		case registrar == c.self.Address, m.Address == c.self.Address && c.listsSelf(now), c.mustKeep(m):
 			if e, known := c.runningEntry(now, v, m); known {
 				entries = append(entries, e)
+			} else if listed, found := c.listings[m.Address][c.Key()]; found {
+				entries = append(entries, listed)
 			}
 		}
 	}
@@ -125,18 +127,14 @@
 	return c.unlistedSince >= 0 && now-c.unlistedSince >= listSelfAfter
 }
 
-// mustKeep reports whether this node lists a running process that no other registrar lists yet.
+// mustKeep reports whether this node goes on to list a node that is reached, because its registrar does not list its process yet.
 func (c *Core) mustKeep(m membership.Member) bool {
 	listings := c.listings[m.Address]
-	lists := func(key string) bool {
-		e, found := listings[key]
-		return found && e.Process == ProcessOf(m) && !e.Away
-	}
-	if !lists(c.Key()) {
+	if _, found := listings[c.Key()]; !found {
 		return false
 	}
-	for key := range listings {
-		if key != c.Key() && lists(key) {
+	for key, e := range listings {
+		if key != c.Key() && e.Process == ProcessOf(m) && !e.Away {
 			return false
 		}
 	}
