--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -6,6 +6,7 @@
 
 	"stiletrail/internal/clock"
 	"stiletrail/internal/failure"
+	"stiletrail/internal/membership"
 	"stiletrail/internal/message"
 	"stiletrail/internal/quota"
 	"stiletrail/internal/roster"
@@ -47,6 +48,7 @@
 type fleetView struct {
 	membersVersion, rosterVersion uint64
 	joined, copyStale             bool
+	standing                      quota.Standing
 }
 
 // keepsRoster reports whether this node takes part in the roster: if the configuration in force limits what tenants may send.
@@ -76,12 +78,17 @@
 	view := fleetView{membersVersion: f.members.Version(), joined: g.knowsFleet(now), copyStale: g.storeCopy.stale(now)}
 	if g.keepsRoster() {
 		view.rosterVersion = g.roster.core.Version()
+		view.standing = g.quotaStanding(view.copyStale)
 	}
 	if view == g.roster.told {
 		return
 	}
 	g.roster.told = view
-	g.quotas.holder.SetMembers(clock.FromDuration(now), g.quotaMembers(view.copyStale), view.joined)
+	nowMs := clock.FromDuration(now)
+	g.quotas.holder.SetMembers(nowMs, g.quotaMembers(view.copyStale), view.joined)
+	if g.keepsRoster() && view.joined {
+		g.quotas.holder.SetStanding(nowMs, view.standing)
+	}
 }
 
 // knowsFleet reports whether this node knows the members of the fleet, so that it may lend tokens. A node that has heard of no
@@ -120,6 +127,34 @@
 	return members
 }
 
+// quotaStanding returns what the store says of this process.
+func (g *Gateway) quotaStanding(copyStale bool) quota.Standing {
+	listed := g.roster.core.Standing()
+	s := quota.Standing{
+		Running: listed.Running && !copyStale, Away: listed.Away,
+		LateStart: time.Duration(g.firstListing.readAt.Load()) >= meetTime,
+	}
+	if !s.Running {
+		s.MembersInDoubt = g.membersInDoubt()
+	}
+	return s
+}
+
+// membersInDoubt reports whether a known member may be out of reach.
+func (g *Gateway) membersInDoubt() bool {
+	for _, m := range g.fleet.members.Members() {
+		if m.State != membership.Alive {
+			return true
+		}
+	}
+	for _, e := range g.roster.core.Nodes() {
+		if _, found := g.fleet.members.Lookup(e.Address); !found {
+			return true
+		}
+	}
+	return false
+}
+
 // keepRoster writes this node's record of the roster and renews its lease, until the context ends.
 func (g *Gateway) keepRoster(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/quota/accountant.go
+++ b/internal/quota/accountant.go
@@ -46,6 +46,10 @@
 	// before, with when they ended.
 	reach        float64
 	earlierReach []endedReach
+	// standing is what the store says of this process, nil if it says nothing of processes.
+	standing *Standing
+	// startSpread is for how much longer than usual this process counts as starting.
+	startSpread clock.Ms
 }
 
 // endedReach is a part of the members that were reached until a moment.
@@ -211,8 +215,13 @@
 	return p.limit.Window + p.limit.leaseDuration() + p.used.width*(1+spareSlots)
 }
 
-// starting reports whether tokens may be in use that an earlier process of this node has lent.
-func (a *accountant) starting(now clock.Ms, p *pool) bool { return now-a.startedAt < p.inDoubtFor() }
+// startsUntil returns until when tokens may be in use that an earlier process of this node has lent, or others in its place.
+func (a *accountant) startsUntil(p *pool) clock.Ms {
+	return a.startedAt + p.inDoubtFor() + a.startSpread
+}
+
+// starting reports whether such tokens may be in use.
+func (a *accountant) starting(now clock.Ms, p *pool) bool { return now < a.startsUntil(p) }
 
 // ready reports whether this node may lend tokens of a pool.
 func (a *accountant) ready(now clock.Ms, p *pool) bool {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -118,6 +118,29 @@
 	h.rank(now)
 }
 
+// SetStanding tells the holder what the store says of this process. Without such word this process is taken for one that
+// everybody knows. The members are told before it.
+func (h *Holder) SetStanding(now clock.Ms, standing Standing) {
+	a := &h.accountant
+	if first := a.standing == nil; first && (standing.Away || standing.LateStart) {
+		h.startAnew(now, standing.Away)
+	}
+	a.standing = &standing
+	h.rank(now)
+}
+
+// startAnew makes this process count as one that starts now, because others may have lent the tokens of its pools until now. If
+// they have counted this node as away, they are away from here for as long.
+func (h *Holder) startAnew(now clock.Ms, wasAway bool) {
+	h.accountant.startedAt, h.accountant.startSpread = now, rankingSpread
+	if !wasAway {
+		return
+	}
+	for address := range h.awaySince {
+		h.awaySince[address] -= shrinkAfter
+	}
+}
+
 // rank chooses the accountants again.
 func (h *Holder) rank(now clock.Ms) {
 	h.accountant.rank(newRanking(now, h.members, h.awaySince))
@@ -133,7 +156,7 @@
 }
 
 // reach returns the part of all tokens that belongs to the members that this node reaches. Of the part of lost members, those
-// that the store lists as running have lostShare.
+// that the store lists as running have lostShare. A node that may itself be lost leaves them that share of its own.
 func (h *Holder) reach(now clock.Ms) float64 {
 	total, gone, lost := len(h.members), 0, 0
 	for _, m := range h.members {
@@ -146,7 +169,10 @@
 		}
 	}
 	reached := float64(total-gone) / float64(max(1, total))
-	if lost > 0 {
+	switch {
+	case h.accountant.standing.mayBeLost():
+		return (1 - lostShare) * reached
+	case lost > 0:
 		return reached + lostShare*float64(lost)/float64(total)*float64(total-gone)/float64(total-lost)
 	}
 	return reached
