--- a/internal/gateway/retry_slack_test.go
+++ b/internal/gateway/retry_slack_test.go
@@ -210,3 +210,24 @@
 		})
 	}
 }
+
+// TestNodeThatMetNobodyLendsNoSlack checks that, where no tenant has a limit and so no roster is kept, a node that starts while it
+// reaches no other member lends no retry slack, since the others may lend all of it.
+func TestNodeThatMetNobodyLendsNoSlack(t *testing.T) {
+	withCluster(t, 3, func(t *testing.T, c *cluster) {
+		c.network.partition(func(from, to string) bool { return from == address(2) || to == address(2) })
+		c.kill(2)
+		c.start(2)
+		c.backEnds.setHandler(func(context.Context, gateway.BackEndRequest) forward.Outcome {
+			return forward.Outcome{Kind: forward.Refused}
+		})
+		time.Sleep(20 * time.Second)
+		for range 300 {
+			c.gateways[2].Serve(context.Background(), &gateway.Call{ID: "id", Host: "h", Path: "/all/x"})
+			time.Sleep(10 * time.Millisecond)
+		}
+		if state := c.gateways[2].Status().Quotas; state.Limits == 0 || state.Lent+state.Used+state.Held > 0 {
+			t.Errorf("a node that has met nobody has %+v", state)
+		}
+	})
+}
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -131,7 +131,7 @@
 func (g *Gateway) quotaStanding(copyStale bool) quota.Standing {
 	listed := g.roster.core.Standing()
 	s := quota.Standing{
-		Running: listed.Running && !copyStale, Away: listed.Away,
+		Listed: listed.Running, Running: listed.Running && !copyStale, Away: listed.Away, RapidRestart: listed.RapidRestart,
 		LateStart: time.Duration(g.firstListing.readAt.Load()) >= meetTime,
 	}
 	if !s.Running {
--- a/internal/mutation/quota_test.go
+++ b/internal/mutation/quota_test.go
@@ -26,7 +26,7 @@
 	},
 	{
 		"both sides of a long cut lend all", "internal/quota/accountant.go",
-		"	return int(float64(lent)*a.lowestReach(now, p) + roundingError)", "	return lent",
+		"	part := a.lowestReach(now, p)", "	part := 1.0",
 		"./internal/quota", "TestLongCut",
 	},
 	{
@@ -75,9 +75,54 @@
 		"./internal/quota", "TestLowerLimitDropsTokens",
 	},
 	{
-		"a node that has met no other member lends all tokens", "internal/gateway/quotas.go",
+		"a node that has met no other member lends all retry slack", "internal/gateway/roster.go",
 		"g.fleet.joined && !g.cutOffFromStart()", "g.fleet.joined",
-		"./internal/gateway", "TestStartWhileCutOff",
+		"./internal/gateway", "TestNodeThatMetNobodyLendsNoSlack",
+	},
+	{
+		"a process that starts divides limits among the members that it has met", "internal/gateway/roster.go",
+		"			members = append(members, quota.Member{Address: e.Address, Zone: e.Zone, Region: e.Region})\n", "",
+		"./internal/gateway", "TestRestartWhileCutOffKeepsTheBound",
+	},
+	{
+		"a process that starts waits until it has met others", "internal/gateway/roster.go",
+		"(g.fleet.joined || now >= meetTime)", "!g.cutOffFromStart()",
+		"./internal/gateway", "TestLastNodeServesItsTenants",
+	},
+	{
+		"who acts for a lost accountant lends all of its pool", "internal/quota/accountant.go",
+		"		part = lostShare", "		part = 1",
+		"./internal/quota", "TestLostAccountantAndItsSubstitute",
+	},
+	{
+		"a node that may pass for lost lends all of its pools", "internal/quota/standing.go",
+		"return s != nil && !s.Running && s.MembersInDoubt", "return false",
+		"./internal/quota", "TestLostAccountantAndItsSubstitute",
+	},
+	{
+		"a node that others have counted as away lends as one that was there", "internal/quota/holder.go",
+		"first && (standing.Away || standing.LateStart)", "first && standing.LateStart",
+		"./internal/quota", "TestNodeThatWasAwayStartsAnew",
+	},
+	{
+		"a process lends the reserve that its predecessor lent", "internal/quota/standing.go",
+		"s.Listed && !s.RapidRestart", "s.Listed",
+		"./internal/quota", "TestRapidRestartLendsNoReserve",
+	},
+	{
+		"a process lends the reserve before its successor can know of it", "internal/quota/standing.go",
+		"s.Listed && !s.RapidRestart", "!s.RapidRestart",
+		"./internal/quota", "TestRapidRestartLendsNoReserve",
+	},
+	{
+		"a registrar lists a process by a copy that may lack the one before it", "internal/roster/plan.go",
+		"v.CopyAge > now-s.since", "false",
+		"./internal/roster", "TestProcessIsListedByACompleteCopy",
+	},
+	{
+		"nodes of a lost registrar are forgotten", "internal/roster/roster.go",
+		"		c.dropped[e.Address] = e\n", "",
+		"./internal/roster", "TestNodesOfLostRegistrarAreAway",
 	},
 	{
 		"the token of a request of which nothing has run is kept", "internal/gateway/serve.go",
--- a/internal/quota/accountant.go
+++ b/internal/quota/accountant.go
@@ -130,8 +130,8 @@
 
 func (a *accountant) lease(now clock.Ms, p *pool, b *borrower, use *message.QuotaUse) message.QuotaLease {
 	lease := message.QuotaLease{Key: use.Key, Pool: use.Pool, Sequence: use.Sequence}
-	if !a.ready(now, p) {
-		lease.RetryMs, lease.RoomMs = uint64(notReadyRetry), uint64(notReadyRetry)
+	if retry := a.untilReady(now, p); retry > 0 {
+		lease.RetryMs, lease.RoomMs = uint64(notReadyRetry), uint64(retry)
 		return lease
 	}
 	capacity := a.capacity(now, p, use.Pool)
@@ -223,13 +223,26 @@
 // starting reports whether such tokens may be in use.
 func (a *accountant) starting(now clock.Ms, p *pool) bool { return now < a.startsUntil(p) }
 
-// ready reports whether this node may lend tokens of a pool.
+// ready reports whether this node is known to be the accountant of a pool.
 func (a *accountant) ready(now clock.Ms, p *pool) bool {
 	alone := len(a.ranking().regions) == 1
 	settling := a.starting(now, p) && now-a.lastGrowth < settleTime && !alone
 	return p.owned && a.joined && !settling
 }
 
+// untilReady returns after what time this node may lend tokens of a pool, as far as it knows, or 0 if it may now.
+func (a *accountant) untilReady(now clock.Ms, p *pool) clock.Ms {
+	switch {
+	case !a.ready(now, p):
+		return notReadyRetry
+	case !a.starting(now, p) || a.standing.mayLendReserve():
+		return 0
+	case a.standing.RapidRestart:
+		return a.startsUntil(p) - now
+	}
+	return notReadyRetry
+}
+
 // capacity returns how many tokens of a pool may be used or lent now. While tokens may be in use that another process has
 // lent of the pool, it is the reserve. Once members have been away for long, the accountants that they may have among
 // them get the part that corresponds to these members. A lost member may still lend of its pools, so whoever acts for it has a
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -26,6 +26,21 @@
 	jitter  int
 	cut     func(a, b *node) bool
 	tenants map[LimitID]*tenantRecord
+	// listed is the process that the store lists at each address, and since when.
+	listed map[string]listedProcess
+}
+
+// listingDelay is how long it takes until the store lists a process that has found the others, and settleAfter how long the
+// process must then run until its successor is no rapid restart.
+const (
+	listingDelay = 200 * clock.Ms(1)
+	settleAfter  = 6 * clock.Second
+)
+
+// listedProcess is a process that the store lists.
+type listedProcess struct {
+	process uint32
+	since   clock.Ms
 }
 
 // tenantRecord is what a test has seen of one tenant.
@@ -76,7 +91,7 @@
 // newFleet returns a fleet whose nodes have been up for long enough to lend all of their pools.
 func newFleet(t *testing.T, seed uint64, count, regions int) *fleet {
 	f := &fleet{
-		t: t, random: rand.New(rand.NewPCG(seed, seed)), limits: map[LimitID]Limit{}, tenants: map[LimitID]*tenantRecord{}, jitter: 2,
+		t: t, random: rand.New(rand.NewPCG(seed, seed)), limits: map[LimitID]Limit{}, listed: map[string]listedProcess{}, tenants: map[LimitID]*tenantRecord{}, jitter: 2,
 		cut: func(a, b *node) bool { return false },
 	}
 	for i := range count {
@@ -118,6 +133,12 @@
 	f.at(f.now+joinsAfter, func() {
 		if n.up && n.process == process {
 			f.tellMembers(n)
+			n.holder.SetStanding(n.clock(f.now), Standing{})
+		}
+	})
+	f.at(f.now+joinsAfter+listingDelay, func() {
+		if n.up && n.process == process {
+			f.list(n)
 		}
 	})
 	var tick func()
@@ -131,6 +152,14 @@
 	f.at(f.now+clock.Ms(f.random.IntN(int(reportInterval))), tick)
 }
 
+// list makes the store list the process of a node.
+func (f *fleet) list(n *node) {
+	before, known := f.listed[n.address]
+	f.listed[n.address] = listedProcess{n.process, f.now}
+	rapid := known && f.now-before.since < settleAfter
+	n.holder.SetStanding(n.clock(f.now), Standing{Listed: true, Running: true, RapidRestart: rapid})
+}
+
 func (n *node) clock(now clock.Ms) clock.Ms { return now - n.started }
 
 func (f *fleet) stop(n *node) { n.up = false }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -166,6 +166,12 @@
 	v := viewOf(member("a", 1, membership.Alive))
 	v.Members[0].Zone = "other"
 	records.plan(t, lost, 0, v)
+	reader := New(selfEntry("c", 3))
+	records.read(t, reader)
+	reader.Delete(lost.Key())
+	if nodes := reader.Nodes(); len(nodes) != 1 || !nodes[0].Away {
+		t.Errorf("once no record lists it, a node is known as %+v", nodes)
+	}
 	c := New(selfEntry("b", 2))
 	records.read(t, c)
 	own := viewOf(member("b", 2, membership.Alive))
