--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,6 +24,8 @@
 	// readBuffer and writeBuffer are the sizes of a connection's buffers, in bytes.
 	readBuffer  = 2048
 	writeBuffer = 1024
+	// maximumStatus is the greatest status of HTTP.
+	maximumStatus = 599
 )
 
 // connection is a connection to a back end. One exchange uses it at a time.
@@ -165,12 +168,21 @@
 		if err != nil {
 			return nil, err
 		}
+		if !isStatus(response.StatusCode) {
+			return nil, errNoStatus
+		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
 		}
 	}
 }
 
+// errNoStatus is returned for an answer whose three digits are no status of HTTP. The parser of net/http lets them pass.
+var errNoStatus = errors.New("the status of the back end's answer is not from 100 to 599")
+
+// isStatus reports whether a number is a status of HTTP (RFC 9110, section 15).
+func isStatus(code int) bool { return code >= http.StatusContinue && code <= maximumStatus }
+
 // canKeepAlive reports whether the answer stated its length, the back end keeps the connection open, no byte followed
 // the answer, and the connection may carry more requests.
 func (c *connection) canKeepAlive(response *http.Response) bool {
