A request late in a planned stop is refused, not begun and cut

Cause: nothing looked at whether a request can still end. Now one whose target latency, or whose caller's deadline, reaches beyond that moment is refused at once as not run (LEAVING, late_in_stop, Retry-After 10 ms), so that another node takes it. The last sixth stays for the last answers and the end of the process.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -45,6 +45,8 @@
 	TurnedAway Reason = "turned_away"
 	// Quarantined means that the request crashes the back ends that run it.
 	Quarantined Reason = "quarantined"
+	// LateInStop means that the node refused the request on arrival, since it stops before the request can have ended.
+	LateInStop Reason = "late_in_stop"
 	// QuotaExceeded means that the tenant has used up its limit. QuotaUnanswered means that this node did not learn in
 	// time whether it has.
 	QuotaExceeded   Reason = "quota_exceeded"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,9 @@
 	table    atomic.Pointer[routing.Table]
 	inFlight atomic.Int64
 	leaving  atomic.Bool
+	// finishAt is when the requests in flight are answered because the node stops, as a time.Duration on the node's clock. It is
+	// valid while leaving is set.
+	finishAt atomic.Int64
 	// firstListing tracks whether the node has read the whole content of the store since its start.
 	firstListing firstListing
 	// finishNow is closed when all requests in flight must be answered at once.
@@ -169,8 +172,12 @@
 // FinishInFlight answers all requests in flight at once with the results that they have so far.
 func (g *Gateway) FinishInFlight() { g.finishOnce.Do(func() { close(g.finishNow) }) }
 
-// Leave makes the node report that it is not ready any more. It still serves requests that arrive.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
+// Leave makes the node report that it is not ready any more. It still serves the requests that arrive, but for those that will
+// probably not have ended when FinishInFlight is called, after finishIn.
+func (g *Gateway) Leave(finishIn time.Duration) {
+	g.finishAt.Store(int64(g.now() + finishIn))
+	g.leaving.Store(true)
+}
 
 // Leaving reports whether Leave was called.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -178,7 +178,7 @@
 		results := make(chan gateway.Result, 1)
 		go func() { results <- s.search() }()
 		time.Sleep(time.Second)
-		s.gateway.Leave()
+		s.gateway.Leave(time.Hour)
 		s.gateway.FinishInFlight()
 		if result := <-results; result.Failure == nil || result.Failure.NotRun || result.Reason != forward.GivenUp {
 			t.Errorf("want the reason given up and an unknown outcome: answered %+v", result.Answer)
--- a/internal/gateway/refusals.go
+++ b/internal/gateway/refusals.go
@@ -7,6 +7,7 @@
 	"stiletrail/internal/clock"
 	"stiletrail/internal/failure"
 	"stiletrail/internal/forward"
+	"stiletrail/internal/routing"
 )
 
 // Refusals that a request gets before any of it is sent to a back end, in the order in which they are checked. Each tells
@@ -16,6 +17,7 @@
 //	the node has no configuration yet                       NOT_READY                 retryAfterStarting, retryAfterNotReady
 //	no tenant holds its key, but a version may be missing   NOT_READY    no_key,      retryAfterNotReady
 //	                                                                     unknown_key
+//	the node stops before it has probably ended             LEAVING      late_in_stop retryAfterLeaving
 //	more than maximum_requests are in flight                OVERLOADED                retryAfterTooMany
 //	the limit of its tenant is used up (quotas.go)          QUOTA_EXCEEDED  quota_exceeded    quota.Exceeded.RetryAfter
 //	whether it is used up is not known in time (quotas.go)  QUOTA_EXCEEDED  quota_unanswered  retryAfterUnanswered
@@ -32,6 +34,10 @@
 	// retryAfterNotReady holds when reading the first configuration takes longer.
 	retryAfterNotReady = 500 * time.Millisecond
 	retryAfterTooMany  = 500 * time.Millisecond
+	// retryAfterLeaving is short because the caller comes back to another node.
+	retryAfterLeaving = 10 * time.Millisecond
+	// usualTime is how long a request of a route without a target latency is expected to take.
+	usualTime = time.Second
 	// retryAfterUnanswered is the time in which another accountant is asked.
 	retryAfterUnanswered = 150 * time.Millisecond
 	// retryAfterTrial is short because the trial may end at any moment.
@@ -66,6 +72,29 @@
 	return &forward.Answer{Failure: failure.NewRefusal(failure.NotReady, message, retryAfterNotReady), Reason: reason}
 }
 
+// endsTooLate reports whether a request that has just arrived would probably be in flight still when the node stops. It is
+// expected to take its target latency. One whose caller waits for less ends before.
+func (g *Gateway) endsTooLate(call *Call, route *routing.Route, arrived time.Duration) bool {
+	if !g.leaving.Load() {
+		return false
+	}
+	usual := route.TargetLatency
+	if usual == 0 {
+		usual = usualTime
+	}
+	endsAt := arrived + usual
+	if !call.Deadline.IsZero() {
+		endsAt = min(endsAt, g.clock.FromTime(call.Deadline))
+	}
+	return endsAt > time.Duration(g.finishAt.Load())
+}
+
+func refuseLateInStop() forward.Answer {
+	return forward.Answer{
+		Failure: failure.NewRefusal(failure.Leaving, "the node stops before the request can have ended", retryAfterLeaving), Reason: forward.LateInStop,
+	}
+}
+
 func refuseTooMany() forward.Answer {
 	return forward.Answer{Failure: failure.NewRefusal(failure.Overloaded, "too many requests in flight", retryAfterTooMany)}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -79,6 +79,9 @@
 
 // serveRoute serves a call on its route, unless one of the rules in refusals.go refuses it.
 func (g *Gateway) serveRoute(ctx context.Context, call *Call, route *routing.Route, arrived, holdUntil time.Duration) Result {
+	if g.endsTooLate(call, route, arrived) {
+		return Result{Answer: refuseLateInStop()}
+	}
 	inFlight := g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if int(inFlight) > g.settings.Load().MaximumRequests {
--- a/internal/gateway/simulation_faults_test.go
+++ b/internal/gateway/simulation_faults_test.go
@@ -53,7 +53,7 @@
 		time.AfterFunc(length, func() { s.cluster.store.update(func(store *fakeStore) { store.err = nil }) })
 	case 8:
 		s.cluster.contexts[nodeNumber]()
-		s.cluster.gateways[nodeNumber].Leave()
+		s.cluster.gateways[nodeNumber].Leave(time.Hour)
 		s.startNode(nodeNumber)
 	case 9:
 		s.replaceBackEnd(b)
@@ -120,7 +120,7 @@
 	time.AfterFunc(length, func() { setAtConnectionLimit(false) })
 	for number := range simulatedNodes {
 		s.cluster.contexts[number]()
-		s.cluster.gateways[number].Leave()
+		s.cluster.gateways[number].Leave(time.Hour)
 		s.startNode(number)
 	}
 }
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -21,8 +21,8 @@
 // Node is the node that a Server serves.
 type Node interface {
 	Ready() bool
-	// Leave makes Ready return false. The node continues to serve requests.
-	Leave()
+	// Leave makes Ready return false. The node continues to serve requests that end before finishIn has passed.
+	Leave(finishIn time.Duration)
 	// FinishInFlight answers all requests in flight at once.
 	FinishInFlight()
 	InFlight() int64
@@ -145,9 +145,9 @@
 // arrive, and ends once no caller is connected or the time is over. Stop reports whether all requests were
 // completed.
 func (s *Server) Stop(within time.Duration) bool {
-	started := time.Now()
-	s.node.Leave()
-	for elapsed := time.Duration(0); elapsed < within-within/finalPart; elapsed = time.Since(started) {
+	started, finishIn := time.Now(), within-within/finalPart
+	s.node.Leave(finishIn)
+	for elapsed := time.Duration(0); elapsed < finishIn; elapsed = time.Since(started) {
 		if elapsed > minimumDrainTime && s.node.InFlight() == 0 && s.Connections() == 0 {
 			break
 		}
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -21,7 +21,7 @@
 }
 
 func (n *fakeNode) Ready() bool                    { return !n.leaving.Load() }
-func (n *fakeNode) Leave()                         { n.leaving.Store(true) }
+func (n *fakeNode) Leave(time.Duration)            { n.leaving.Store(true) }
 func (n *fakeNode) FinishInFlight()                { n.inFlightFinished.Store(true) }
 func (n *fakeNode) InFlight() int64                { return n.inFlight.Load() }
 func (n *fakeNode) Limits() (routing.Limits, bool) { return routing.Limits{}, false }
