Changes of the roster are written together

Of 41 writes 39 were of single nodes that were restarted in turn, and nodes that had just started each took themselves for registrars.

Now changes of few nodes are written when an interval of 8 s of the wall clock begins, by all registrars together; those of a third of a group at once. Groups are of a region, about 32 nodes. A node counts those that are listed as candidates until it has had time to hear of them, and without a record waits until its members have not grown for 0.7 s. A process reads itself whether the one before it was settled, so a registrar need not wait for a fresh copy before it lists it.

--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -131,7 +131,7 @@
 func (g *Gateway) quotaStanding(copyStale bool) quota.Standing {
 	listed := g.roster.core.Standing()
 	s := quota.Standing{
-		Listed: listed.Running, Running: listed.Running && !copyStale, Away: listed.Away, RapidRestart: listed.RapidRestart,
+		Listed: listed.Running && g.copiedSinceStart(), Running: listed.Running && !copyStale, Away: listed.Away, RapidRestart: listed.RapidRestart,
 		LateStart: time.Duration(g.firstListing.readAt.Load()) >= meetTime,
 	}
 	if !s.Running {
@@ -140,6 +140,13 @@
 	return s
 }
 
+// copiedSinceStart reports whether the copy of the store was complete at a moment after the start of this process, so that it has
+// what the process before it has left.
+func (g *Gateway) copiedSinceStart() bool {
+	age := g.storeCopy.age(g.now())
+	return age != neverConfirmed && age <= g.nowMs()
+}
+
 // membersInDoubt reports whether a known member may be out of reach.
 func (g *Gateway) membersInDoubt() bool {
 	for _, m := range g.fleet.members.Members() {
@@ -213,7 +220,7 @@
 
 func (g *Gateway) rosterView(now time.Duration) roster.View {
 	return roster.View{
-		Wall: g.wallTime(now).UnixMilli(), Members: g.fleet.members.Members(), CopyAge: g.storeCopy.age(now),
+		Wall: g.wallTime(now).UnixMilli(), Members: g.fleet.members.Members(),
 		SettleAfter: clock.Ms(settleWindows * float64(g.settings.Load().Quotas.Window)),
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,10 +2,10 @@
 // nobody, and cannot tell whether nodes that it does not reach are gone or are running on the other side of a cut. It has read
 // the store, or a peer's copy of it, before it serves anybody, and so it knows the roster.
 //
-// The nodes of a zone are divided into groups of about groupSize. The registrar of a group, its node with the lowest address,
+// The nodes of a region are divided into groups of about groupSize. The registrar of a group, its node with the lowest address,
 // writes one record with an entry for each node of the group. The record has a lease, which the registrar renews. So a node
 // that is listed as running was reached a few seconds ago by a node that reached the store. A node that nobody lists as running
-// is gone, or reaches neither the store nor a registrar. Nodes of zones without any running node are listed, as away, by the
+// is gone, or reaches neither the store nor a registrar. Nodes of regions without any running node are listed, as away, by the
 // node with the lowest address of all.
 //
 // The package owns the decoded records of this node's copy of the store, and the decision what this node writes. It does no
@@ -31,11 +31,17 @@
 	seen map[string]sighting
 	// unlistedSince is since when this node has been missing in the roster, or -1 if it is not.
 	unlistedSince clock.Ms
-	// plannedSince is when this node has first planned a record, or -1.
+	// plannedSince is when this node has first planned a record, or -1. members is the largest number of members that it has
+	// known, since grownAt.
 	plannedSince clock.Ms
-	// written is the value of the last write, which was made at writtenAt.
+	members      int
+	grownAt      clock.Ms
+	// followsRapidly is set once a process of this node's address was listed that was not settled, other than this one.
+	followsRapidly bool
+	// written is the value of the last write, which was made at writtenAt, in an interval of the wall clock.
 	written   []byte
 	writtenAt clock.Ms
+	writtenIn int64
 }
 
 // sighting is a process of an address, and when it was first heard of.
@@ -74,6 +80,9 @@
 	c.records[key] = entries
 	for _, e := range entries {
 		delete(c.dropped, e.Address)
+		if e.Address == c.self.Address && e.Process != c.self.Process && !e.Settled {
+			c.followsRapidly = true
+		}
 		if c.listings[e.Address] == nil {
 			c.listings[e.Address] = map[string]Entry{}
 		}
@@ -142,13 +151,14 @@
 	Running bool
 	// Away is set if a registrar does not reach this node.
 	Away bool
-	// RapidRestart is set if a registrar found that the predecessor of this process had not run for long enough.
+	// RapidRestart is set if the predecessor of this process had not run for long enough. A registrar may know so, or this process
+	// has read it. It is known for certain once the copy of the store is complete as of a moment after the start.
 	RapidRestart bool
 }
 
 // Standing returns what the roster says of this process.
 func (c *Core) Standing() Standing {
-	var s Standing
+	s := Standing{RapidRestart: c.followsRapidly}
 	for _, e := range c.listings[c.self.Address] {
 		s.Away = s.Away || e.Away
 		if e.Process == c.self.Process {
