Seeds of a changed settings file are put in force

They waited for a restart, although the platform changes them in a running process: a node whose seeds were all replaced by other machines met nobody until then. What else waits for a restart must: addresses that are listened at or told to others, the name, the zone.

TestChangedSeeds fails before (the node knows itself only).

--- a/cmd/stiletrail-gateway/reload.go
+++ b/cmd/stiletrail-gateway/reload.go
@@ -34,7 +34,7 @@
 
 // reload reads the settings file and puts it into force if it has changed, or if force is set. A file that cannot be
 // read or is invalid changes nothing. Some settings take effect only at a restart: the addresses at which the node
-// serves, the seeds, the name and the zone of the node, the log level, the window of existing retry budgets, and the
+// serves, the name and the zone of the node, the log level, the window of existing retry budgets, and the
 // intervals and timeouts for changes of the store, which are derived at the start.
 func (r *reloader) reload(force bool) {
 	text, err := os.ReadFile(r.file)
@@ -56,6 +56,7 @@
 	r.inForce = changed
 	r.store.SetAddress(changed.StoreAddress)
 	r.node.Reconfigure(gateway.FromSettings(changed))
+	r.node.SetSeeds(changed.Seeds)
 	r.log.Reloaded(changed, changed.IgnoredSettings())
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,6 +30,18 @@
 	g.roster.core = roster.New(roster.Entry{Address: self.Address, Zone: self.Zone, Region: self.Region, Process: roster.ProcessOf(self)})
 }
 
+// SetSeeds replaces the addresses of nodes that are asked for the members, because the settings name others now. It does nothing on
+// a node without peers.
+func (g *Gateway) SetSeeds(seeds []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fleet.members == nil {
+		return
+	}
+	g.fleet.seeds = seeds
+	g.fleet.members.SetSeeds(seeds)
+}
+
 // pickSpreadPeers picks random members to which news of the store is sent. It picks none for a larger count while others
 // watch the store for this node.
 func (g *Gateway) pickSpreadPeers(count int) []string {
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -508,3 +508,26 @@
 	calls.Wait()
 	return sent
 }
+
+// TestChangedSeeds: a node whose seeds were all replaced by other machines met nobody, although its settings had named the new ones
+// meanwhile, until it was restarted.
+func TestChangedSeeds(t *testing.T) {
+	runCluster(t, 3, &cluster{seeds: []int{0, 1, 2}}, func(t *testing.T, c *cluster) {
+		for number := range c.gateways {
+			c.kill(number)
+		}
+		c.seeds = []int{2}
+		c.start(2)
+		c.seeds = []int{0, 1}
+		c.start(0)
+		time.Sleep(20 * time.Second)
+		if nodes := c.gateways[2].Status().Nodes; nodes != 1 {
+			t.Fatalf("the node has met %d nodes before its seeds have changed", nodes)
+		}
+		c.gateways[2].SetSeeds([]string{address(0), address(1)})
+		time.Sleep(15 * time.Second)
+		if nodes := c.gateways[2].Status().Nodes; nodes != 2 {
+			t.Errorf("the node knows %d nodes after its seeds have changed, want 2", nodes)
+		}
+	})
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -205,6 +205,14 @@
 	c.seeds = append(c.seeds, address)
 }
 
+// SetSeeds replaces the addresses that are asked for their views, because the settings name others now. Members stay known.
+func (c *Core) SetSeeds(seeds []string) {
+	c.seeds = nil
+	for _, seed := range seeds {
+		c.AddSeed(seed)
+	}
+}
+
 // Self returns this node as it is announced to others.
 func (c *Core) Self() Member { return c.self }
 
