--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 //   - quotas.go: quotas takes and lends the tokens of limits over all nodes (package quota). retry_slack.go borrows extra
 //     attempts as such tokens.
 //   - roster.go: rosterState is this node's part in the roster of running nodes, which is kept in the store for the limits.
+//     quota_members.go tells the holder of tokens which nodes there are.
 //   - maintain.go ends doubtful states whose time has passed. suspensions.go tracks suspensions of the machine.
 //   - status.go and decision_log.go show the state to operators.
 package gateway
--- a/internal/mutation/quota_test.go
+++ b/internal/mutation/quota_test.go
@@ -75,18 +75,18 @@
 		"./internal/quota", "TestLowerLimitDropsTokens",
 	},
 	{
-		"a node that has met no other member lends all retry slack", "internal/gateway/roster.go",
+		"a node that has met no other member lends all retry slack", "internal/gateway/quota_members.go",
 		"g.fleet.joined && !g.cutOffFromStart()", "g.fleet.joined",
 		"./internal/gateway", "TestNodeThatMetNobodyLendsNoSlack",
 	},
 	{
-		"a process that starts divides limits among the members that it has met", "internal/gateway/roster.go",
+		"a process that starts divides limits among the members that it has met", "internal/gateway/quota_members.go",
 		"			members = append(members, quota.Member{Address: e.Address, Zone: e.Zone, Region: e.Region})\n", "",
 		"./internal/gateway", "TestRestartWhileCutOffKeepsTheBound",
 	},
 	{
-		"a process that starts waits until it has met others", "internal/gateway/roster.go",
-		"(g.fleet.joined || now >= meetTime)", "!g.cutOffFromStart()",
+		"a process that starts waits until it has met others", "internal/gateway/quota_members.go",
+		"(g.fleet.joined || now >= meetOthersTime)", "!g.cutOffFromStart()",
 		"./internal/gateway", "TestLastNodeServesItsTenants",
 	},
 	{
@@ -121,7 +121,7 @@
 	},
 	{
 		"nodes that start together all take themselves for registrars", "internal/roster/plan.go",
-		"!c.HasRecord() && now-c.grownAt < meetTime", "false",
+		"!c.HasRecord() && now-c.grownAt < stableViewTime", "false",
 		"./internal/roster", "TestNodesThatStartTogetherWriteOnce",
 	},
 	{
--- a/internal/roster/entry.go
+++ b/internal/roster/entry.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -66,3 +67,5 @@
 	}
 	return e.Process > other.Process
 }
+
+func byAddress(a, b Entry) int { return cmp.Compare(a.Address, b.Address) }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,6 +8,11 @@
 // is gone, or reaches neither the store nor a registrar. Nodes of regions without any running node are listed, as away, by the
 // node with the lowest address of all.
 //
+//   - entry.go: what a record says of a node
+//   - plan.go: when this node writes its record
+//   - planned_entries.go: what it writes
+//   - registrars.go: which node lists which
+//
 // The package owns the decoded records of this node's copy of the store, and the decision what this node writes. It does no
 // I/O, reads no clock and has no lock. The caller passes in the time and the known members, and writes what Plan returns.
 package roster
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -44,7 +44,7 @@
 func (s store) planFirst(t *testing.T, c *Core, v View) {
 	t.Helper()
 	s.plan(t, c, 0, v)
-	s.plan(t, c, meetTime, v)
+	s.plan(t, c, stableViewTime, v)
 }
 
 // read lets a node read all records.
@@ -102,7 +102,7 @@
 func TestSecondRestartIsRapid(t *testing.T) {
 	records := store{}
 	registrar := New(selfEntry("a", 1))
-	registrar.grownAt, registrar.members = -meetTime, 2
+	registrar.grownAt, registrar.members = -stableViewTime, 2
 	at := func(now clock.Ms, generation uint64) bool {
 		v := viewOf(member("a", 1, membership.Alive), member("b", generation, membership.Alive))
 		records.plan(t, registrar, now, v)
@@ -156,7 +156,7 @@
 			records.read(t, c)
 			records.plan(t, c, 0, viewOf(m))
 			records.plan(t, c, 600, viewOf(members...))
-			records.plan(t, c, 600+meetTime, viewOf(members...))
+			records.plan(t, c, 600+stableViewTime, viewOf(members...))
 		}
 		if len(records) != 1 {
 			t.Errorf("%s: %d records", name, len(records))
