Test: nodes that start together do not see each other's records as they start

TestNodesThatStartTogetherWriteOnce let each node read what the one before it had written, so it passed without the guard that it covers (make prove). Now each reads what was there before; without the guard it fails, and with it passes. The product is unchanged.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"stiletrail/internal/clock"
@@ -37,7 +38,9 @@
 		return
 	}
 	s[c.Key()] = w.Value
-	s.read(t, c)
+	if err := c.Put(c.Key(), w.Value); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // planFirst lets a node plan as it starts, and write once it has known its members for long enough.
@@ -151,9 +154,10 @@
 		"without a roster": {},
 		"with a roster":    {KeyOf("a"): encode([]Entry{selfEntry("a", 7), selfEntry("b", 8), selfEntry("c", 9)})},
 	} {
+		before := maps.Clone(records)
 		for i, m := range members {
 			c := New(selfEntry(m.Address, uint32(i+1)))
-			records.read(t, c)
+			before.read(t, c)
 			records.plan(t, c, 0, viewOf(m))
 			records.plan(t, c, 600, viewOf(members...))
 			records.plan(t, c, 600+stableViewTime, viewOf(members...))
